--- /dev/null
+++ b/src/libalmond/core/clock.h
@@ -0,0 +1,53 @@
+#ifndef ALMOND_CORE_CLOCK_H_
+#define ALMOND_CORE_CLOCK_H_
+
+#include <chrono>
+
+namespace almond {
+
+using steady_time = std::chrono::steady_clock::time_point;
+using wall_time = std::chrono::system_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+using std::chrono::milliseconds;
+
+/// Source of time, passed in so that tests can drive it by hand.
+class clock_interface {
+ public:
+  virtual ~clock_interface() = default;
+  /// @returns monotonic time for deadlines, leases and measurements
+  virtual steady_time SteadyNow() const = 0;
+  /// @returns calendar time, for UUIDv7 timestamps and the ledger's window
+  virtual wall_time WallNow() const = 0;
+};
+
+/// The machine's clocks.
+class system_clock final : public clock_interface {
+ public:
+  steady_time SteadyNow() const override {
+    return std::chrono::steady_clock::now();
+  }
+  wall_time WallNow() const override {
+    return std::chrono::system_clock::now();
+  }
+};
+
+/// A clock that moves only when told to.
+class manual_clock final : public clock_interface {
+ public:
+  steady_time SteadyNow() const override { return steady_; }
+  wall_time WallNow() const override { return wall_; }
+  /// Moves both readings forward.
+  /// @param step time to add
+  void Advance(duration step) {
+    steady_ += step;
+    wall_ += std::chrono::duration_cast<wall_time::duration>(step);
+  }
+
+ private:
+  steady_time steady_{std::chrono::hours(1)};
+  wall_time wall_{std::chrono::hours(24 * 365 * 56)};
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_CORE_CLOCK_H_
--- /dev/null
+++ b/src/libalmond/core/easylogging.cc
@@ -0,0 +1,2 @@
+// easylogging++ ships one source file beside its header, to be compiled once.
+#include <easylogging++.cc>
--- /dev/null
+++ b/src/libalmond/core/metrics.cc
@@ -0,0 +1,107 @@
+#include "libalmond/core/metrics.h"
+
+#include <iomanip>
+#include <limits>
+#include <sstream>
+
+namespace almond {
+namespace {
+
+template <typename Metric>
+Metric& FindOrCreate(
+    std::map<std::pair<std::string, std::string>, std::unique_ptr<Metric>>&
+        metrics,
+    const std::string& name, const std::string& labels) {
+  auto& slot = metrics[{name, labels}];
+  if (!slot) slot = std::make_unique<Metric>();
+  return *slot;
+}
+
+std::string Braces(const std::string& labels) {
+  return labels.empty() ? "" : "{" + labels + "}";
+}
+
+void WriteTypeLine(std::ostream& out, std::string& last,
+                   const std::string& name, const char* type) {
+  if (name == last) return;
+  out << "# TYPE " << name << " " << type << "\n";
+  last = name;
+}
+
+std::string ReasonLabel(std::string_view name) {
+  return "reason=\"" + std::string(name) + "\"";
+}
+
+}  // namespace
+
+distribution::distribution()
+    : values_(boost::accumulators::tag::extended_p_square::probabilities =
+                  kQuantiles) {}
+
+double distribution::Max() const {
+  return Count() == 0 ? 0 : boost::accumulators::max(values_);
+}
+
+double distribution::Quantile(std::size_t index) const {
+  // The estimator is exact only from a few values on; the maximum bounds it.
+  if (Count() < 2 * kQuantiles.size() + 3) return Max();
+  return boost::accumulators::extended_p_square(
+      values_)[static_cast<std::ptrdiff_t>(index)];
+}
+
+metrics_registry::metrics_registry() {
+  for (std::size_t i = 0; i < kRefusalReasonCount; ++i) {
+    refusals_[i] =
+        &Counter("almond_refusals_total",
+                 ReasonLabel(Name(static_cast<refusal_reason>(i))));
+  }
+  for (std::size_t i = 0; i < kRetryReasonCount; ++i) {
+    retries_[i] = &Counter("almond_retries_total",
+                           ReasonLabel(Name(static_cast<retry_reason>(i))));
+  }
+}
+
+counter& metrics_registry::Counter(const std::string& name,
+                                   const std::string& labels) {
+  return FindOrCreate(counters_, name, labels);
+}
+
+gauge& metrics_registry::Gauge(const std::string& name,
+                               const std::string& labels) {
+  return FindOrCreate(gauges_, name, labels);
+}
+
+distribution& metrics_registry::Distribution(const std::string& name,
+                                             const std::string& labels) {
+  return FindOrCreate(distributions_, name, labels);
+}
+
+std::string metrics_registry::Exposition() const {
+  std::ostringstream out;
+  out << std::setprecision(std::numeric_limits<double>::digits10);
+  std::string last;
+  for (const auto& [name, metric] : counters_) {
+    WriteTypeLine(out, last, name.first, "counter");
+    out << name.first << Braces(name.second) << " " << metric->Value() << "\n";
+  }
+  for (const auto& [name, metric] : gauges_) {
+    WriteTypeLine(out, last, name.first, "gauge");
+    out << name.first << Braces(name.second) << " " << metric->Value() << "\n";
+  }
+  for (const auto& [name, metric] : distributions_) {
+    WriteTypeLine(out, last, name.first, "summary");
+    const std::string separator = name.second.empty() ? "" : ",";
+    for (std::size_t i = 0; i < distribution::kQuantiles.size(); ++i) {
+      out << name.first << "{" << name.second << separator << "quantile=\""
+          << distribution::kQuantiles[i] << "\"} " << metric->Quantile(i)
+          << "\n";
+    }
+    out << name.first << "_sum" << Braces(name.second) << " " << metric->Sum()
+        << "\n";
+    out << name.first << "_count" << Braces(name.second) << " "
+        << metric->Count() << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace almond
