--- /dev/null
+++ b/src/libalmond/core/control_messages.h
@@ -0,0 +1,146 @@
+#ifndef ALMOND_CORE_CONTROL_MESSAGES_H_
+#define ALMOND_CORE_CONTROL_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libalmond/core/clock.h"
+#include "libalmond/core/identifiers.h"
+#include "libalmond/core/outcome.h"
+#include "libalmond/core/uuid.h"
+
+namespace almond {
+
+/// What kind of process a heartbeat comes from.
+enum class process_role : std::uint8_t { entry, agent };
+
+/// State of a submission in the ledger.
+enum class ledger_state : std::uint8_t { running, complete, failed };
+
+/// One submission in the ledger.
+struct ledger_record {
+  uuid submission;
+  std::string digest;  ///< SHA-256 or other fixed digest of the content
+  service_id service;
+  std::uint32_t task_count = 0;
+  entry_id owner;
+  incarnation_id owner_incarnation;
+  owner_epoch epoch;
+  ledger_state state = ledger_state::running;
+  refusal failure;     ///< valid if the state is `failed`
+  wall_time accepted;  ///< by the leader's clock
+  wall_time deadline;  ///< end of the caller's timeout, by the owner's clock
+
+  bool operator==(const ledger_record&) const = default;
+};
+
+/// Process to control leader, each second.
+struct heartbeat_message {
+  process_role role = process_role::entry;
+  std::string id;  ///< entry or agent id
+  incarnation_id incarnation;
+  data_centre_id data_centre;
+  /// IP and port that peers dial; empty for an agent.
+  std::string peer_address;
+  /// IP and port of the HTTP server.
+  std::string http_address;
+  config_version version;
+  bool leaving = false;
+};
+
+/// A live entry, as listed to agents and operators.
+struct entry_address {
+  entry_id entry;
+  incarnation_id incarnation;
+  data_centre_id data_centre;
+  std::string peer_address;
+
+  bool operator==(const entry_address&) const = default;
+};
+
+/// Control leader to process.
+struct heartbeat_reply_message {
+  config_version newest;
+  std::vector<entry_address> entries;
+  /// Submissions that this entry is now the owner of and has to end.
+  std::vector<ledger_record> takeovers;
+};
+
+/// Process to control leader: the newest accepted configuration, please.
+struct fetch_config_message {};
+
+/// Control leader to process.
+struct fetch_config_reply_message {
+  config_version version;  ///< 0 if none was accepted yet
+  std::string document;
+};
+
+/// Entry to control leader: accept this submission if its id is new.
+struct ledger_claim_message {
+  uuid submission;
+  std::string digest;
+  service_id service;
+  std::uint32_t task_count = 0;
+  entry_id owner;
+  incarnation_id owner_incarnation;
+  wall_time deadline;
+};
+
+/// How a claim ended.
+enum class claim_outcome : std::uint8_t {
+  accepted,  ///< the caller of the claim is the owner now
+  exists,    ///< accepted before with the same content; see the record
+  conflict,  ///< accepted before with other content
+  expired,   ///< the id is older than the window
+  too_new    ///< the id's time is too far in the future
+};
+
+struct ledger_claim_reply_message {
+  claim_outcome outcome = claim_outcome::conflict;
+  ledger_record record;  ///< valid for `accepted` and `exists`
+};
+
+/// Owner to control leader: the submission has ended. Ignored if the epoch is
+/// not the record's.
+struct ledger_finish_message {
+  uuid submission;
+  owner_epoch epoch;
+  ledger_state state = ledger_state::failed;
+  refusal failure;  ///< valid if the state is `failed`
+};
+
+struct ledger_finish_reply_message {
+  bool stored = false;  ///< false if another owner or end is on record
+};
+
+/// Entry to control leader: what is on record?
+struct ledger_read_message {
+  uuid submission;
+};
+
+struct ledger_read_reply_message {
+  std::optional<ledger_record> record;
+};
+
+/// Control process that is not the leader, or cannot confirm that it is.
+struct not_leader_message {
+  std::string leader_address;  ///< IP and port to dial; empty if not known
+};
+
+/// A request to the control leader.
+using control_request =
+    std::variant<heartbeat_message, fetch_config_message, ledger_claim_message,
+                 ledger_finish_message, ledger_read_message>;
+
+/// The reply; carries the request's number on the wire.
+using control_reply =
+    std::variant<heartbeat_reply_message, fetch_config_reply_message,
+                 ledger_claim_reply_message, ledger_finish_reply_message,
+                 ledger_read_reply_message, not_leader_message>;
+
+}  // namespace almond
+
+#endif  // ALMOND_CORE_CONTROL_MESSAGES_H_
--- a/src/libalmond/core/metrics.cc
+++ b/src/libalmond/core/metrics.cc
@@ -8,10 +8,9 @@
 namespace {
 
 template <typename Metric>
-Metric& FindOrCreate(
-    std::map<std::pair<std::string, std::string>, std::unique_ptr<Metric>>&
-        metrics,
-    const std::string& name, const std::string& labels) {
+Metric& FindOrCreate(std::map<std::pair<std::string, std::string>,
+                              std::unique_ptr<Metric>>& metrics,
+                     const std::string& name, const std::string& labels) {
   auto& slot = metrics[{name, labels}];
   if (!slot) slot = std::make_unique<Metric>();
   return *slot;
@@ -51,9 +50,8 @@
 
 metrics_registry::metrics_registry() {
   for (std::size_t i = 0; i < kRefusalReasonCount; ++i) {
-    refusals_[i] =
-        &Counter("almond_refusals_total",
-                 ReasonLabel(Name(static_cast<refusal_reason>(i))));
+    refusals_[i] = &Counter("almond_refusals_total",
+                            ReasonLabel(Name(static_cast<refusal_reason>(i))));
   }
   for (std::size_t i = 0; i < kRetryReasonCount; ++i) {
     retries_[i] = &Counter("almond_retries_total",
--- a/src/libalmond/core/metrics.h
+++ b/src/libalmond/core/metrics.h
@@ -49,9 +49,7 @@
   distribution();
   void Add(double value) { values_(value); }
   /// @param time duration, recorded in seconds
-  void Add(duration time) {
-    Add(std::chrono::duration<double>(time).count());
-  }
+  void Add(duration time) { Add(std::chrono::duration<double>(time).count()); }
   std::uint64_t Count() const { return boost::accumulators::count(values_); }
   double Sum() const { return boost::accumulators::sum(values_); }
   double Max() const;
--- a/src/libalmond/core/outcome.cc
+++ b/src/libalmond/core/outcome.cc
@@ -9,20 +9,34 @@
                                                            "unknown"};
 
 constexpr std::array<std::string_view, kRefusalReasonCount> kReasonNames = {
-    "bad-request",        "bad-json",
-    "bad-utf8",           "bad-header",
-    "bad-submission-id",  "unknown-service",
-    "unknown-path",       "unknown-job",
-    "unknown-team",       "body-too-large",
-    "too-many-tasks",     "exceeds-capacity",
-    "team-quota",         "overloaded",
-    "no-endpoint",        "draining",
-    "ledger-unavailable", "no-configuration",
-    "submission-conflict", "submission-expired",
-    "deadline-in-queue",  "deadline-running",
-    "cancelled",          "task-failed",
-    "endpoint-refused",   "endpoint-lost",
-    "agent-lost",         "owner-lost",
+    "bad-request",
+    "bad-json",
+    "bad-utf8",
+    "bad-header",
+    "bad-submission-id",
+    "unknown-service",
+    "unknown-path",
+    "unknown-job",
+    "unknown-team",
+    "body-too-large",
+    "too-many-tasks",
+    "exceeds-capacity",
+    "team-quota",
+    "overloaded",
+    "no-endpoint",
+    "draining",
+    "ledger-unavailable",
+    "no-configuration",
+    "submission-conflict",
+    "submission-expired",
+    "deadline-in-queue",
+    "deadline-running",
+    "cancelled",
+    "task-failed",
+    "endpoint-refused",
+    "endpoint-lost",
+    "agent-lost",
+    "owner-lost",
     "answer-lost"};
 
 constexpr std::array<std::string_view, kRetryReasonCount> kRetryNames = {
@@ -30,8 +44,8 @@
     "fenced",        "task-failed",      "outcome-unknown"};
 
 template <typename Enum, std::size_t Count>
-std::optional<Enum> ParseName(
-    const std::array<std::string_view, Count>& names, std::string_view name) {
+std::optional<Enum> ParseName(const std::array<std::string_view, Count>& names,
+                              std::string_view name) {
   const auto* const found = std::find(names.begin(), names.end(), name);
   if (found == names.end()) return std::nullopt;
   return static_cast<Enum>(found - names.begin());
--- a/src/libalmond/core/outcome.h
+++ b/src/libalmond/core/outcome.h
@@ -87,7 +87,8 @@
 struct refusal {
   refusal_reason reason = refusal_reason::bad_request;
   run_outcome outcome = run_outcome::not_run;
-  std::string detail;  ///< what an operator or caller needs to act; may be empty
+  std::string
+      detail;  ///< what an operator or caller needs to act; may be empty
 
   bool operator==(const refusal&) const = default;
 };
--- /dev/null
+++ b/src/libalmond/net/event_loop.h
@@ -0,0 +1,73 @@
+#ifndef ALMOND_NET_EVENT_LOOP_H_
+#define ALMOND_NET_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+
+#include "libalmond/core/clock.h"
+
+struct event;
+struct event_base;
+
+namespace almond {
+
+/// A timer or signal handler; destroying it ends it. May be destroyed from
+/// within its own callback.
+class event_handle {
+ public:
+  event_handle() = default;
+  ~event_handle() { Reset(); }
+  event_handle(event_handle&&) noexcept;
+  event_handle& operator=(event_handle&&) noexcept;
+  event_handle(const event_handle&) = delete;
+  event_handle& operator=(const event_handle&) = delete;
+
+  /// Ends the timer or handler.
+  void Reset();
+  bool Active() const { return state_ != nullptr; }
+
+ private:
+  friend class event_loop;
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+/// The one event loop of a process, on one thread.
+class event_loop {
+ public:
+  event_loop();
+  ~event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  /// Runs until Stop is called.
+  void Run();
+  /// Makes Run return after the current callback.
+  void Stop();
+
+  /// @param period time between calls
+  /// @param callback called each period until the handle is destroyed
+  event_handle Every(duration period, std::function<void()> callback);
+  /// @param delay time to the call; zero calls in the next loop iteration
+  /// @param callback called once, unless the handle is destroyed before
+  event_handle After(duration delay, std::function<void()> callback);
+  /// @param delay time to the call
+  /// @param callback called once; cannot be cancelled
+  void Post(duration delay, std::function<void()> callback);
+  /// @param signal signal number
+  /// @param callback called on the loop for each signal
+  event_handle OnSignal(int signal, std::function<void()> callback);
+
+  /// @returns the libevent base, for the classes of this folder
+  event_base* Base() const { return base_; }
+
+ private:
+  event_handle Add(int descriptor, short flags, const duration* delay,
+                   std::function<void()> callback);
+
+  event_base* base_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_NET_EVENT_LOOP_H_
--- /dev/null
+++ b/src/libalmond/net/http_server.h
@@ -0,0 +1,62 @@
+#ifndef ALMOND_NET_HTTP_SERVER_H_
+#define ALMOND_NET_HTTP_SERVER_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "libalmond/core/socket_address.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/net/http_message.h"
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace almond {
+
+/// HTTP server over evhttp. Handlers may answer later.
+class http_server {
+ public:
+  /// Bodies above this are refused by evhttp itself, before a handler sees
+  /// them; handlers have their own, smaller limits.
+  static constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20U;
+  static constexpr std::size_t kMaxHeaderBytes = std::size_t{32} << 10U;
+  /// A connection that sends nothing for so long is closed. This also ends
+  /// requests whose headers come too slowly.
+  static constexpr std::chrono::seconds kIdleTimeout{30};
+
+  /// Sends the response; must be called once.
+  using responder = std::function<void(const http_response&)>;
+  using handler = std::function<void(const http_request&, responder)>;
+
+  http_server(event_loop& loop, handler handle);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// @param address IP and port; port 0 takes a free one
+  /// @returns false if the address cannot be bound
+  bool Listen(const socket_address& address);
+  const socket_address& Address() const { return address_; }
+  /// Accepts no more connections; requests in progress go on, and their
+  /// responses tell the client to close the connection.
+  void StopListening();
+  /// @returns number of requests that have no response yet
+  std::size_t Pending() const { return *pending_; }
+
+ private:
+  static void OnRequest(evhttp_request* request, void* argument);
+  void Handle(evhttp_request* request);
+
+  handler handle_;
+  evhttp* server_;
+  evhttp_bound_socket* socket_ = nullptr;
+  socket_address address_;
+  std::shared_ptr<std::size_t> pending_ = std::make_shared<std::size_t>(0);
+  std::shared_ptr<bool> closing_ = std::make_shared<bool>(false);
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/src/libalmond/net/peer_dialer.h
@@ -0,0 +1,52 @@
+#ifndef ALMOND_NET_PEER_DIALER_H_
+#define ALMOND_NET_PEER_DIALER_H_
+
+#include <functional>
+#include <memory>
+
+#include "libalmond/net/event_loop.h"
+#include "libalmond/net/peer_link.h"
+
+namespace almond {
+
+/// Keeps a connection to one address: dials, and dials again after each end.
+class peer_dialer {
+ public:
+  static constexpr milliseconds kRedialDelay{200};
+  static constexpr milliseconds kConnectTimeout{1000};
+
+  struct hooks {
+    std::function<void()> on_connected;
+    std::function<void(const frame&)> on_frame;
+    /// Called after the end of an established connection.
+    std::function<void(const std::string&)> on_closed;
+  };
+
+  peer_dialer(event_loop& loop, const clock_interface& clock,
+              socket_address address, hooks callbacks);
+  ~peer_dialer();
+  peer_dialer(const peer_dialer&) = delete;
+  peer_dialer& operator=(const peer_dialer&) = delete;
+
+  /// Sends a frame; ignored while there is no connection.
+  void Send(const frame& message);
+  bool Connected() const { return link_ != nullptr; }
+  const socket_address& Address() const { return address_; }
+
+ private:
+  void Dial();
+  void Redial();
+  void OnConnected(int descriptor);
+
+  event_loop& loop_;
+  const clock_interface& clock_;
+  socket_address address_;
+  hooks hooks_;
+  std::shared_ptr<peer_link> link_;
+  bufferevent* connecting_ = nullptr;
+  event_handle redial_timer_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_NET_PEER_DIALER_H_
--- /dev/null
+++ b/src/libalmond/net/peer_listener.h
@@ -0,0 +1,43 @@
+#ifndef ALMOND_NET_PEER_LISTENER_H_
+#define ALMOND_NET_PEER_LISTENER_H_
+
+#include <functional>
+#include <memory>
+
+#include "libalmond/net/event_loop.h"
+#include "libalmond/net/peer_link.h"
+
+struct evconnlistener;
+
+namespace almond {
+
+/// Accepts connections from other processes of the system.
+class peer_listener {
+ public:
+  using accept_hook = std::function<void(std::shared_ptr<peer_link>)>;
+
+  /// @param on_accept called with each new link; it has to call Start
+  peer_listener(event_loop& loop, const clock_interface& clock,
+                accept_hook on_accept);
+  ~peer_listener();
+  peer_listener(const peer_listener&) = delete;
+  peer_listener& operator=(const peer_listener&) = delete;
+
+  /// @param address IP and port; port 0 takes a free one
+  /// @returns false if the address cannot be bound
+  bool Listen(const socket_address& address);
+  /// @returns the address in use
+  const socket_address& Address() const { return address_; }
+  void Close();
+
+ private:
+  event_loop& loop_;
+  const clock_interface& clock_;
+  accept_hook on_accept_;
+  evconnlistener* listener_ = nullptr;
+  socket_address address_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_NET_PEER_LISTENER_H_
--- /dev/null
+++ b/src/libalmond/net/socket_util.h
@@ -0,0 +1,22 @@
+#ifndef ALMOND_NET_SOCKET_UTIL_H_
+#define ALMOND_NET_SOCKET_UTIL_H_
+
+#include <netinet/in.h>
+
+#include "libalmond/core/socket_address.h"
+
+namespace almond {
+
+/// Connections that the kernel holds until they are accepted.
+inline constexpr int kListenBacklog = 1024;
+
+/// @returns the address in the form of the socket interface
+sockaddr_in ToSockaddr(const socket_address& address);
+
+/// @param descriptor a bound socket
+/// @returns its local port
+std::uint16_t BoundPort(int descriptor);
+
+}  // namespace almond
+
+#endif  // ALMOND_NET_SOCKET_UTIL_H_
