Add the interface of the replicated log's host

Cause: the control process is written against the log before the log is done. Before: no interface to the log. After: headers only, without an implementation; nothing was run. Conclusion: the owner of the state machine can build against the header.

--- /dev/null
+++ b/src/libalmond/processes/replica_host.h
@@ -0,0 +1,106 @@
+#ifndef ALMOND_PROCESSES_REPLICA_HOST_H_
+#define ALMOND_PROCESSES_REPLICA_HOST_H_
+
+#include <boost/leaf/result.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "libalmond/core/clock.h"
+#include "libalmond/core/metrics.h"
+#include "libalmond/core/socket_address.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/replication/replica_results.h"
+
+namespace almond {
+
+/// Where one replica of the control log is reached.
+struct replica_address {
+  replica_id id;
+  socket_address replication;  ///< for the other replicas
+  socket_address service;      ///< for the owner's clients; only reported back
+};
+
+/// Settings of one replica.
+struct replica_host_settings {
+  std::string cluster;  ///< cluster id; a data folder of another is refused
+  replica_id self;
+  std::vector<replica_address> replicas;  ///< all, with this one
+  std::string data_folder;                ///< created if it is missing
+  /// Initialises an empty data folder as part of a new cluster. Valid only for
+  /// the first start of a cluster, for every replica of it.
+  bool bootstrap = false;
+  /// Number of log entries after which a snapshot is taken.
+  std::size_t snapshot_after_entries = 10000;
+};
+
+/// Drives one replica of the control log with the event loop, links to the
+/// other replicas, and the data folder. A sync that fails stops the process.
+class replica_host {
+ public:
+  /// Hooks of the state machine's owner.
+  struct state_machine {
+    /// Applies a committed command; called in log order, once for each index
+    /// since the last restore. Returns the result for its proposer.
+    std::function<std::string(log_index, const std::string&)> apply;
+    /// Returns the whole state.
+    std::function<std::string()> snapshot;
+    /// Replaces the whole state by an earlier result of `snapshot`.
+    std::function<void(const std::string&)> restore;
+    /// Called after this replica became or ceased to be the leader; optional.
+    std::function<void()> on_leader_change;
+  };
+
+  /// Opens the data folder, restores the state machine and starts to serve.
+  /// @param loop the process's loop; outlives the host
+  /// @param clock source of time; outlives the host
+  /// @param random source of election timeouts and of a new incarnation
+  /// @param metrics receives almond_log_* metrics; outlives the host
+  /// @param settings this replica and its peers
+  /// @param machine hooks; called on the loop, and `restore` also from here
+  /// @returns the host, or storage_error or replica_host_error
+  static boost::leaf::result<std::unique_ptr<replica_host>> Start(
+      event_loop& loop, const clock_interface& clock, std::mt19937_64& random,
+      metrics_registry& metrics, replica_host_settings settings,
+      state_machine machine);
+  ~replica_host();
+  replica_host(const replica_host&) = delete;
+  replica_host& operator=(const replica_host&) = delete;
+
+  /// Proposes a command for the log.
+  /// @param command at most kMaxCommandBytes
+  /// @param on_end called once, later on the loop
+  void Propose(std::string command, proposal_hook on_end);
+  /// Confirms that a read of the state machine from within the hook is not
+  /// stale.
+  /// @param on_end called once, later on the loop
+  void ConfirmRead(read_hook on_end);
+
+  bool IsLeader() const;
+  /// @returns the leader's addresses, or nothing if no leader is known
+  std::optional<replica_address> Leader() const;
+  /// @returns the leader's id, empty if no leader is known
+  replica_id LeaderId() const;
+  replica_status Status() const;
+
+  /// Largest command in bytes; a larger one ends as `not_leader`.
+  static constexpr std::size_t kMaxCommandBytes = std::size_t{8} << 20U;
+
+ private:
+  class implementation;
+  explicit replica_host(std::unique_ptr<implementation> state);
+
+  std::unique_ptr<implementation> implementation_;
+};
+
+/// Settings or an address that a replica cannot start with.
+struct replica_host_error {
+  std::string message;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_REPLICA_HOST_H_
--- /dev/null
+++ b/src/libalmond/replication/replica_identity.h
@@ -0,0 +1,22 @@
+#ifndef ALMOND_REPLICATION_REPLICA_IDENTITY_H_
+#define ALMOND_REPLICATION_REPLICA_IDENTITY_H_
+
+#include "libalmond/core/identifiers.h"
+
+namespace almond {
+
+/// Names one replica of the control log; the same after a disk replacement.
+using replica_id = name_of<struct replica_tag>;
+/// Names one life of a replica's disk. An emptied disk gets another one.
+using replica_incarnation = number_of<struct replica_incarnation_tag>;
+/// Election term of the control log.
+using log_term = number_of<struct log_term_tag>;
+/// Position in the control log, counted from 1; 0 means none.
+using log_index = number_of<struct log_index_tag>;
+
+/// Incarnation of every replica of a newly bootstrapped cluster.
+inline constexpr replica_incarnation kBootstrapIncarnation{1};
+
+}  // namespace almond
+
+#endif  // ALMOND_REPLICATION_REPLICA_IDENTITY_H_
