Add the replica of the control log and its schedule tests

Adds schedule, repair and checker tests. Before: only the interface headers. Conclusion: a replica can be driven by a host; the sanitizer build was not run yet for this commit.

--- /dev/null
+++ b/src/libalmond/replication/persist_records.h
@@ -0,0 +1,52 @@
+#ifndef ALMOND_REPLICATION_PERSIST_RECORDS_H_
+#define ALMOND_REPLICATION_PERSIST_RECORDS_H_
+
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "libalmond/replication/replication_messages.h"
+
+namespace almond {
+
+/// Term and vote of a replica.
+struct vote_record {
+  log_term term = 0;
+  replica_id voted_for;  ///< empty if there was no vote in this term
+  replica_incarnation voted_incarnation;
+
+  bool operator==(const vote_record&) const = default;
+};
+
+/// Entries that replace everything from `first` on.
+struct append_record {
+  log_index first = 0;
+  std::vector<log_entry> entries;
+
+  bool operator==(const append_record&) const = default;
+};
+
+/// A snapshot with the entries after it; replaces all earlier records.
+struct snapshot_record {
+  std::shared_ptr<const replica_snapshot> snapshot;
+  vote_record vote;
+  std::vector<log_entry> entries;  ///< from snapshot->index + 1 on
+};
+
+using persist_record =
+    std::variant<vote_record, append_record, snapshot_record>;
+
+/// What a replica finds on its disk.
+struct replica_state {
+  vote_record vote;
+  std::shared_ptr<const replica_snapshot> snapshot;  ///< null if none
+  std::vector<log_entry> entries;  ///< from the snapshot's index + 1 on
+
+  /// Applies one record, in the order in which it was written.
+  /// @returns false if the record leaves a gap in the log
+  bool Apply(const persist_record& record);
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_REPLICATION_PERSIST_RECORDS_H_
--- /dev/null
+++ b/src/libalmond/replication/replica.cc
@@ -0,0 +1,187 @@
+#include "libalmond/replication/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almond {
+
+replica::replica(replica_settings settings, std::mt19937_64& random,
+                 const replica_state& state, steady_time now)
+    : settings_(std::move(settings)),
+      random_(random),
+      log_(membership::Bootstrap(settings_.replicas), state.snapshot,
+           state.entries),
+      vote_(state.vote),
+      commit_(log_.SnapshotIndex()),
+      handed_out_(commit_),
+      applied_(commit_),
+      unsaved_from_(log_.Last() + 1),
+      persisted_(log_.Last()) {
+  output_.restore = state.snapshot;
+  ResetElectionTimer(now);
+}
+
+void replica::Tick(steady_time now) {
+  if (role_ == replica_role::leader) {
+    CheckContact(now);
+  } else if (now >= election_deadline_) {
+    if (IsVoter()) {
+      StartElection(true, now);
+    } else {
+      ResetElectionTimer(now);
+      leader_ = replica_id();
+    }
+  }
+}
+
+void replica::Receive(const replica_message& message, steady_time now) {
+  if (message.to != settings_.self || IsSilenced(message)) return;
+  std::visit([&](const auto& body) { Handle(message, body, now); },
+             message.body);
+}
+
+bool replica::IsSilenced(const replica_message& message) const {
+  // Only a committed replacement is final.
+  const membership& members = log_.MembersAt(commit_);
+  if (!members.IsRetired(message.from, message.from_incarnation)) return false;
+  // Its replies to this leader bring it the log, from which it learns that it
+  // was replaced. Its terms and votes are void.
+  const bool reply = std::holds_alternative<append_reply>(message.body) ||
+                     std::holds_alternative<snapshot_reply>(message.body);
+  return !reply || message.term > vote_.term;
+}
+
+void replica::Propose(std::string command, proposal_hook on_end) {
+  if (role_ != replica_role::leader) {
+    output_.ended.emplace_back(
+        [hook = std::move(on_end)] { hook(proposal_result()); });
+    return;
+  }
+  log_entry entry;
+  entry.kind = entry_kind::command;
+  entry.command = std::move(command);
+  Append(std::move(entry));
+  proposals_.emplace(log_.Last(), std::move(on_end));
+}
+
+void replica::ConfirmRead(read_hook on_end) {
+  if (role_ != replica_role::leader) {
+    output_.ended.emplace_back([hook = std::move(on_end)] { hook(false); });
+    return;
+  }
+  // Entries committed by earlier leaders are known to be committed only with
+  // the first entry of the own term.
+  reads_.push_back(
+      {round_ + 1, std::max(commit_, term_start_), std::move(on_end)});
+  broadcast_due_ = true;
+}
+
+void replica::Persisted(std::uint64_t batch) {
+  while (!pending_batches_.empty() && pending_batches_.front().batch <= batch) {
+    persisted_ = std::max(persisted_, pending_batches_.front().last);
+    pending_batches_.pop_front();
+  }
+  if (role_ == replica_role::leader) AdvanceCommit();
+}
+
+void replica::Applied(log_index index, const std::string& result) {
+  // A snapshot may have replaced the state since the entry was handed out.
+  if (index != applied_ + 1) return;
+  applied_ = index;
+  const auto found = proposals_.find(index);
+  if (found != proposals_.end()) {
+    output_.ended.emplace_back([hook = std::move(found->second), result] {
+      hook({proposal_outcome::committed, result});
+    });
+    proposals_.erase(found);
+  }
+  ResolveReads();
+}
+
+bool replica::SnapshotDue() const {
+  return applied_ - log_.SnapshotIndex() >= settings_.snapshot_after_entries;
+}
+
+void replica::SnapshotTaken(std::string data) {
+  auto snapshot = std::make_shared<replica_snapshot>();
+  snapshot->index = applied_;
+  snapshot->term = log_.TermAt(applied_);
+  snapshot->members = log_.MembersAt(applied_);
+  snapshot->data = std::move(data);
+  log_.Compact(std::move(snapshot), settings_.retained_entries);
+  snapshot_changed_ = true;
+}
+
+void replica::Append(log_entry entry) {
+  entry.term = vote_.term;
+  log_.Append(std::move(entry));
+  broadcast_due_ = true;
+}
+
+void replica::Commit(log_index index) { commit_ = std::max(commit_, index); }
+
+void replica::Send(const replica_id& to, log_term term,
+                   decltype(replica_message::body) body) {
+  output_.messages.push_back(
+      {settings_.self, settings_.incarnation, to, term, std::move(body)});
+}
+
+void replica::TakeRecords(replica_output& output) {
+  if (snapshot_changed_) {
+    output.records.emplace_back(snapshot_record{
+        log_.Snapshot(), vote_, log_.After(log_.SnapshotIndex())});
+  } else {
+    if (vote_changed_) output.records.emplace_back(vote_);
+    if (unsaved_from_ <= log_.Last()) {
+      output.records.emplace_back(
+          append_record{unsaved_from_, log_.After(unsaved_from_ - 1)});
+    }
+  }
+  snapshot_changed_ = false;
+  vote_changed_ = false;
+  unsaved_from_ = log_.Last() + 1;
+  if (!output.records.empty()) {
+    pending_batches_.push_back({++batch_, log_.Last()});
+  }
+  output.batch = batch_;
+}
+
+void replica::TakeCommitted(replica_output& output) {
+  while (handed_out_ < commit_) {
+    ++handed_out_;
+    const log_entry& entry = log_.At(handed_out_);
+    output.committed.push_back({handed_out_, entry.kind, entry.command});
+  }
+}
+
+replica_output replica::TakeOutput(steady_time now) {
+  if (role_ == replica_role::leader &&
+      (broadcast_due_ || now >= next_heartbeat_)) {
+    Broadcast(now);
+  }
+  replica_output result = std::exchange(output_, {});
+  TakeRecords(result);
+  TakeCommitted(result);
+  return result;
+}
+
+replica_status replica::Status() const {
+  const membership& members = log_.MembersAt(commit_);
+  replica_status status;
+  status.term = vote_.term;
+  status.role = role_;
+  status.leader = leader_;
+  status.commit = commit_;
+  status.applied = applied_;
+  status.last = log_.Last();
+  status.snapshot = log_.SnapshotIndex();
+  status.log_entries = log_.EntryCount();
+  status.log_bytes = log_.Bytes();
+  status.incarnation = settings_.incarnation;
+  status.admitted = members.IsVoter(settings_.self, settings_.incarnation);
+  status.replaced = members.IsRetired(settings_.self, settings_.incarnation);
+  status.members = members.voters;
+  return status;
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/replication/replica_follower.cc
@@ -0,0 +1,110 @@
+// Log matching and snapshots of replica on the receiving side.
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "libalmond/replication/replica.h"
+
+namespace almond {
+
+bool replica::FollowLeader(const replica_message& message, std::uint64_t round,
+                           steady_time now) {
+  if (message.term < vote_.term) {
+    // Tells a leader of an earlier term that its term is over.
+    Send(message.from, vote_.term, append_reply{round, false, 0});
+    return false;
+  }
+  BecomeFollower(message.term, message.from);
+  leader_heard_ = now;
+  ResetElectionTimer(now);
+  return true;
+}
+
+void replica::Handle(const replica_message& message,
+                     const append_request& request, steady_time now) {
+  if (!FollowLeader(message, request.round, now)) return;
+  if (const auto from = RejectFrom(request)) {
+    Send(message.from, vote_.term, append_reply{request.round, false, *from});
+    return;
+  }
+  Store(request.previous_index, request.entries);
+  const log_index match = request.previous_index + request.entries.size();
+  Commit(std::min(request.commit, match));
+  Send(message.from, vote_.term, append_reply{request.round, true, match});
+}
+
+std::optional<log_index> replica::RejectFrom(
+    const append_request& request) const {
+  const log_index previous = request.previous_index;
+  // What is committed equals the leader's log.
+  if (previous <= commit_) return std::nullopt;
+  if (previous > log_.Last()) return log_.Last() + 1;
+  if (log_.TermAt(previous) == request.previous_term) return std::nullopt;
+  return log_.FirstOfTerm(previous, commit_ + 1);
+}
+
+void replica::Store(log_index previous, const std::vector<log_entry>& entries) {
+  log_index index = previous;
+  for (const log_entry& entry : entries) {
+    ++index;
+    if (index <= commit_) continue;
+    if (index <= log_.Last()) {
+      if (log_.TermAt(index) == entry.term) continue;
+      log_.TruncateFrom(index);
+      unsaved_from_ = std::min(unsaved_from_, index);
+      persisted_ = std::min(persisted_, index - 1);
+      for (pending_batch& batch : pending_batches_) {
+        batch.last = std::min(batch.last, index - 1);
+      }
+    }
+    log_.Append(entry);
+  }
+}
+
+void replica::Handle(const replica_message& message,
+                     const snapshot_chunk& chunk, steady_time now) {
+  if (!FollowLeader(message, chunk.round, now)) return;
+  if (chunk.last_index <= commit_) {
+    Send(message.from, vote_.term,
+         append_reply{chunk.round, true, chunk.last_index});
+    return;
+  }
+  if (incoming_.last_index != chunk.last_index ||
+      incoming_.last_term != chunk.last_term ||
+      incoming_.total != chunk.total) {
+    incoming_ = {chunk.last_index, chunk.last_term, chunk.total, ""};
+  }
+  if (chunk.offset == incoming_.data.size()) incoming_.data += chunk.data;
+  if (incoming_.data.size() >= incoming_.total) {
+    InstallSnapshot(chunk);
+    Send(message.from, vote_.term,
+         append_reply{chunk.round, true, chunk.last_index});
+    return;
+  }
+  Send(message.from, vote_.term,
+       snapshot_reply{chunk.round, chunk.last_index, incoming_.data.size()});
+}
+
+void replica::InstallSnapshot(const snapshot_chunk& chunk) {
+  auto snapshot = std::make_shared<replica_snapshot>();
+  snapshot->index = chunk.last_index;
+  snapshot->term = chunk.last_term;
+  snapshot->members = chunk.members;
+  snapshot->data = std::move(incoming_.data);
+  incoming_ = {};
+  log_.Install(snapshot);
+  snapshot_changed_ = true;
+  commit_ = chunk.last_index;
+  handed_out_ = commit_;
+  applied_ = commit_;
+  output_.restore = std::move(snapshot);
+  output_.committed.clear();
+  // The record of the snapshot holds the whole log.
+  unsaved_from_ = log_.Last() + 1;
+  persisted_ = std::min(persisted_, log_.SnapshotIndex());
+  for (pending_batch& batch : pending_batches_) {
+    batch.last = std::min(batch.last, log_.SnapshotIndex());
+  }
+}
+
+}  // namespace almond
--- a/src/libalmond/replication/replica_identity.h
+++ b/src/libalmond/replication/replica_identity.h
@@ -1,6 +1,8 @@
 #ifndef ALMOND_REPLICATION_REPLICA_IDENTITY_H_
 #define ALMOND_REPLICATION_REPLICA_IDENTITY_H_
 
+#include <cstdint>
+
 #include "libalmond/core/identifiers.h"
 
 namespace almond {
@@ -10,9 +12,9 @@
 /// Names one life of a replica's disk. An emptied disk gets another one.
 using replica_incarnation = number_of<struct replica_incarnation_tag>;
 /// Election term of the control log.
-using log_term = number_of<struct log_term_tag>;
+using log_term = std::uint64_t;
 /// Position in the control log, counted from 1; 0 means none.
-using log_index = number_of<struct log_index_tag>;
+using log_index = std::uint64_t;
 
 /// Incarnation of every replica of a newly bootstrapped cluster.
 inline constexpr replica_incarnation kBootstrapIncarnation{1};
--- /dev/null
+++ b/src/libalmond/replication/replica_output.h
@@ -0,0 +1,44 @@
+#ifndef ALMOND_REPLICATION_REPLICA_OUTPUT_H_
+#define ALMOND_REPLICATION_REPLICA_OUTPUT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "libalmond/replication/persist_records.h"
+#include "libalmond/replication/replication_messages.h"
+
+namespace almond {
+
+/// An entry to apply.
+struct committed_entry {
+  log_index index = 0;
+  entry_kind kind = entry_kind::empty;
+  std::string command;
+};
+
+/// What the owner of a replica has to do, in the order of the members.
+struct replica_output {
+  /// To be passed to Persisted once the records are synced.
+  std::uint64_t batch = 0;
+  /// To be written and synced before the messages of this and of any later
+  /// output are sent.
+  std::vector<persist_record> records;
+  std::vector<replica_message> messages;
+  /// If set, the state machine has to be replaced by this state.
+  std::shared_ptr<const replica_snapshot> restore;
+  /// To be applied in order; each is passed to replica::Applied.
+  std::vector<committed_entry> committed;
+  /// Hooks of ended proposals and reads, to be called last.
+  std::vector<std::function<void()>> ended;
+
+  bool Empty() const {
+    return records.empty() && messages.empty() && !restore &&
+           committed.empty() && ended.empty();
+  }
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_REPLICATION_REPLICA_OUTPUT_H_
--- a/src/libalmond/replication/replica_results.h
+++ b/src/libalmond/replication/replica_results.h
@@ -52,13 +52,13 @@
 
 /// State of one replica for operators.
 struct replica_status {
-  log_term term;
+  log_term term = 0;
   replica_role role = replica_role::follower;
   replica_id leader;  ///< empty if none is known
-  log_index commit;
-  log_index applied;
-  log_index last;
-  log_index snapshot;  ///< last entry that the snapshot covers
+  log_index commit = 0;
+  log_index applied = 0;
+  log_index last = 0;
+  log_index snapshot = 0;  ///< last entry that the snapshot covers
   std::size_t log_entries = 0;
   std::size_t log_bytes = 0;
   replica_incarnation incarnation;
--- /dev/null
+++ b/tests/replication/log_simulation.h
@@ -0,0 +1,84 @@
+#ifndef ALMOND_REPLICATION_LOG_SIMULATION_H_
+#define ALMOND_REPLICATION_LOG_SIMULATION_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "replication/simulated_replica.h"
+
+namespace almond {
+
+/// Chances of faults; each is for one message or for one step of 10 ms.
+struct fault_rates {
+  double lose = 0;
+  double duplicate = 0;
+  double long_delay = 0;
+  double kill = 0;
+  double wipe = 0;  ///< share of the kills that also empty the disk
+  double restart = 0.02;
+  double partition = 0;
+  double heal = 0.005;
+};
+
+/// Several replicas with a network under a manual clock.
+class log_simulation {
+ public:
+  static constexpr milliseconds kStep{10};
+
+  log_simulation(std::uint64_t seed, std::size_t replicas);
+
+  /// Runs with faults and client operations.
+  void Run(milliseconds time, const fault_rates& rates);
+  /// Ends all faults and runs until a new proposal is applied everywhere and
+  /// every disk is admitted.
+  /// @returns false if that takes more than a minute of simulated time
+  bool Settle();
+  /// Runs without faults of its own until the condition holds.
+  bool RunUntil(milliseconds limit, const std::function<bool()>& condition);
+
+  /// @returns the index of the running leader of the highest term, or -1
+  int Leader() const;
+  bool Propose(int replica);
+  void Kill(int replica) { replicas_[replica]->Kill(); }
+  void Start(int replica) { replicas_[replica]->Start(now_); }
+  /// Ends the process, empties the disk and starts it again.
+  void Replace(int replica);
+  /// Blocks messages in one direction.
+  void Block(int from, int to) { blocked_.emplace(from, to); }
+  void Unblock() { blocked_.clear(); }
+  /// @returns true if the replica's current disk counts, according to the
+  ///   committed log of any replica
+  bool Admitted(int replica) const;
+
+  simulated_replica& Replica(int replica) { return *replicas_[replica]; }
+  log_history& History() { return history_; }
+
+ private:
+  void Step();
+  void Send(const replica_message& message);
+  int IndexOf(const replica_id& id) const;
+  bool Chance(double probability);
+  void InjectFaults(const fault_rates& rates);
+  void KillOne(const fault_rates& rates);
+  void Partition();
+  void Operate();
+  std::size_t UnderRepair() const;
+
+  std::mt19937_64 random_;
+  steady_time now_{std::chrono::hours(1)};
+  log_history history_;
+  std::vector<std::unique_ptr<simulated_replica>> replicas_;
+  std::multimap<steady_time, replica_message> network_;
+  std::set<std::pair<int, int>> blocked_;
+  fault_rates rates_;
+  std::uint64_t next_command_ = 1;
+  std::uint64_t next_incarnation_ = 2;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_REPLICATION_LOG_SIMULATION_H_
--- /dev/null
+++ b/tests/replication/simulated_replica.h
@@ -0,0 +1,76 @@
+#ifndef ALMOND_REPLICATION_SIMULATED_REPLICA_H_
+#define ALMOND_REPLICATION_SIMULATED_REPLICA_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "libalmond/replication/replica.h"
+#include "replication/log_history.h"
+
+namespace almond {
+
+/// One replica with a state machine and a disk in memory. A sync takes time;
+/// what is not synced may be lost with the process.
+class simulated_replica {
+ public:
+  using send_hook = std::function<void(const replica_message&)>;
+
+  simulated_replica(replica_settings settings, std::mt19937_64& random,
+                    log_history& history, send_hook send);
+
+  void Start(steady_time now);
+  /// Ends the process; loses a random part of what was not synced.
+  void Kill();
+  /// Empties the disk of an ended process.
+  /// @param incarnation of the new disk
+  void Wipe(replica_incarnation incarnation);
+  /// Lets time pass, finishes syncs and carries out the output.
+  void Step(steady_time now);
+  void Receive(const replica_message& message, steady_time now);
+  void Propose(const std::string& command);
+  void Read();
+
+  bool Running() const { return replica_ != nullptr; }
+  replica_status Status() const { return replica_->Status(); }
+  replica_incarnation Incarnation() const { return settings_.incarnation; }
+  const replica_id& Id() const { return settings_.self; }
+
+  /// The disk's content, to be put back by a test.
+  replica_state Disk() const { return disk_; }
+  void PutBack(replica_state disk, replica_incarnation incarnation);
+  void SetMaxSyncTime(milliseconds time) { max_sync_time_ = time; }
+  /// Plants a fault: syncs are reported before they are done.
+  void AcknowledgeBeforeSync() { early_acknowledgement_ = true; }
+
+ private:
+  struct pending_sync {
+    std::uint64_t batch = 0;
+    std::vector<persist_record> records;
+    std::vector<replica_message> messages;
+    steady_time due;
+  };
+  void CarryOut(replica_output output, steady_time now);
+  void Finish(const pending_sync& sync);
+  void ApplyCommitted(const replica_output& output);
+  void WriteRecords(const std::vector<persist_record>& records);
+
+  replica_settings settings_;
+  std::mt19937_64& random_;
+  log_history& history_;
+  send_hook send_;
+  milliseconds max_sync_time_{20};
+  bool early_acknowledgement_ = false;
+
+  replica_state disk_;
+  std::deque<pending_sync> syncs_;
+  std::unique_ptr<replica> replica_;
+  log_history::state_digest state_ = 0;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_REPLICATION_SIMULATED_REPLICA_H_
