--- /dev/null
+++ b/src/libalmond/storage/log_file.cc
@@ -0,0 +1,96 @@
+#include "libalmond/storage/log_file.h"
+
+#include <fcntl.h>
+
+#include <boost/leaf.hpp>
+#include <filesystem>
+#include <utility>
+
+#include "libalmond/storage/log_frame.h"
+
+namespace almond {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr std::uint64_t kFirstSequence = 1;
+
+struct scan_result {
+  std::vector<std::string> records;
+  std::size_t valid_bytes = 0;
+  std::uint64_t next_sequence = kFirstSequence;
+};
+
+leaf::result<scan_result> Scan(const std::string& path,
+                               std::string_view bytes) {
+  scan_result result;
+  while (result.valid_bytes < bytes.size()) {
+    const auto frame = log_frame::Decode(bytes, result.valid_bytes);
+    if (!frame || frame->sequence != result.next_sequence) {
+      if (!frame && !log_frame::FindHeader(bytes, result.valid_bytes + 1,
+                                           result.next_sequence + 1)) {
+        break;
+      }
+      return leaf::new_error(storage_error{
+          path, result.valid_bytes,
+          "a synced part of the log is damaged; restore the file or empty the "
+          "data folder so that the replica joins as a new one"});
+    }
+    if (!frame->Records(result.records)) {
+      return leaf::new_error(storage_error{path, result.valid_bytes,
+                                           "the records do not fit the frame"});
+    }
+    result.valid_bytes += log_frame::kHeaderBytes + frame->payload.size();
+    ++result.next_sequence;
+  }
+  return result;
+}
+
+}  // namespace
+
+leaf::result<log_file::opened> log_file::Open(const std::string& path) {
+  BOOST_LEAF_AUTO(file, storage_file::Open(path, O_RDWR));
+  BOOST_LEAF_AUTO(bytes, file.ReadAll());
+  BOOST_LEAF_AUTO(scan, Scan(path, bytes));
+  const std::uint64_t cut = bytes.size() - scan.valid_bytes;
+  if (cut > 0) BOOST_LEAF_CHECK(file.Truncate(scan.valid_bytes));
+  // The process may have ended between a write and its sync; what is read here
+  // has to be durable before it is acknowledged.
+  BOOST_LEAF_CHECK(file.Sync());
+  log_file result(std::move(file), scan.valid_bytes, scan.next_sequence);
+  return opened{std::move(result), std::move(scan.records), cut};
+}
+
+leaf::result<void> log_file::Create(const std::string& path) {
+  return ReplaceFile(path, "");
+}
+
+leaf::result<void> log_file::WriteSyncMark() {
+  const std::string mark = log_frame::Encode(sequence_, {});
+  BOOST_LEAF_CHECK(file_.Write(size_, mark));
+  size_ += mark.size();
+  ++sequence_;
+  return {};
+}
+
+leaf::result<void> log_file::Append(const std::vector<std::string>& records) {
+  const std::string frame = log_frame::Encode(sequence_, records);
+  BOOST_LEAF_CHECK(file_.Write(size_, frame));
+  BOOST_LEAF_CHECK(file_.Sync());
+  size_ += frame.size();
+  ++sequence_;
+  return WriteSyncMark();
+}
+
+leaf::result<void> log_file::Rewrite(const std::vector<std::string>& records) {
+  const std::string path = file_.Path();
+  const std::string frame = log_frame::Encode(kFirstSequence, records);
+  BOOST_LEAF_CHECK(ReplaceFile(path, frame));
+  BOOST_LEAF_AUTO(file, storage_file::Open(path, O_RDWR));
+  file_ = std::move(file);
+  size_ = frame.size();
+  sequence_ = kFirstSequence + 1;
+  return WriteSyncMark();
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/storage/snapshot_file.h
@@ -0,0 +1,27 @@
+#ifndef ALMOND_STORAGE_SNAPSHOT_FILE_H_
+#define ALMOND_STORAGE_SNAPSHOT_FILE_H_
+
+#include <boost/leaf/result.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libalmond/storage/storage_error.h"
+
+namespace almond {
+
+/// A file with one content under a checksum, replaced as a whole.
+class snapshot_file {
+ public:
+  /// @returns nothing once the content is durable, or storage_error
+  static boost::leaf::result<void> Write(const std::string& path,
+                                         std::string_view content);
+  /// @returns the content, nothing if there is no file, or storage_error if the
+  ///   file is damaged
+  static boost::leaf::result<std::optional<std::string>> Read(
+      const std::string& path);
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_STORAGE_SNAPSHOT_FILE_H_
--- /dev/null
+++ b/tests/storage/log_file_test.cc
@@ -0,0 +1,171 @@
+#include "libalmond/storage/log_file.h"
+
+#include <fcntl.h>
+
+#include <boost/leaf.hpp>
+#include <catch2/catch.hpp>
+
+#include "libalmond/storage/snapshot_file.h"
+#include "storage/storage_outcome.h"
+#include "storage/temporary_folder.h"
+
+namespace almond {
+namespace {
+
+namespace leaf = boost::leaf;
+using records = std::vector<std::string>;
+
+class log_file_fixture {
+ protected:
+  log_file_fixture() {
+    const std::string error = ErrorOf([&]() -> leaf::result<void> {
+      BOOST_LEAF_CHECK(log_file::Create(path_));
+      BOOST_LEAF_AUTO(log, log_file::Open(path_));
+      for (const records& batch : kBatches) {
+        BOOST_LEAF_CHECK(log.file.Append(batch));
+      }
+      return {};
+    });
+    REQUIRE(error.empty());
+    bytes_ = temporary_folder::Read(path_);
+  }
+
+  /// Opens the file with other content.
+  /// @param found set to the records
+  std::string Reopen(const std::string& content, records& found) {
+    temporary_folder::Write(path_, content);
+    return ErrorOf([&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(log, log_file::Open(path_));
+      found = log.records;
+      return {};
+    });
+  }
+
+  static records FirstBatches(std::size_t count) {
+    records result;
+    for (std::size_t i = 0; i < count; ++i) {
+      result.insert(result.end(), kBatches[i].begin(), kBatches[i].end());
+    }
+    return result;
+  }
+  static bool IsPrefixOfBatches(const records& found) {
+    for (std::size_t i = 0; i <= kBatches.size(); ++i) {
+      if (found == FirstBatches(i)) return true;
+    }
+    return false;
+  }
+
+  static inline const std::vector<records> kBatches = {
+      {"vote"}, {"first", "second"}, {std::string(300, 'x'), ""}, {"last"}};
+  temporary_folder folder_;
+  const std::string path_ = folder_.File("log");
+  std::string bytes_;
+};
+
+// Guards against a synced record that a damaged byte removes or alters without
+// an error.
+TEST_CASE_METHOD(log_file_fixture,
+                 "log file / any byte damaged / error or all records") {
+  std::size_t errors = 0;
+  for (std::size_t offset = 0; offset < bytes_.size(); ++offset) {
+    for (const unsigned mask : {0x01U, 0x80U, 0xFFU}) {
+      std::string damaged = bytes_;
+      damaged[offset] =
+          static_cast<char>(static_cast<unsigned char>(damaged[offset]) ^ mask);
+      records found;
+      const std::string error = Reopen(damaged, found);
+      INFO("byte " << offset << " mask " << mask << " error " << error);
+      if (error.empty()) {
+        CHECK(found == FirstBatches(kBatches.size()));
+      } else {
+        ++errors;
+        CHECK(error.find(path_ + " at byte ") == 0);
+      }
+    }
+  }
+  CHECK(errors > bytes_.size());
+}
+
+// Guards against a file that a crash during a write makes unusable.
+TEST_CASE_METHOD(log_file_fixture,
+                 "log file / cut anywhere / whole batches remain") {
+  for (std::size_t size = 0; size <= bytes_.size(); ++size) {
+    records found;
+    INFO("cut to " << size);
+    CHECK(Reopen(bytes_.substr(0, size), found).empty());
+    CHECK(IsPrefixOfBatches(found));
+  }
+}
+
+// Guards against entries that follow a cut tail and cannot be read again.
+TEST_CASE_METHOD(log_file_fixture,
+                 "log file / torn tail / appends go on behind the cut") {
+  const std::string tail =
+      GENERATE(std::string("\0\0\0\0", 4), std::string(5000, '\xFF'),
+               std::string("ALMG\5\0\0\0", 8));
+  temporary_folder::Write(path_, bytes_ + tail);
+  const std::string error = ErrorOf([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(log, log_file::Open(path_));
+    CHECK(log.cut_bytes == tail.size());
+    return log.file.Append({"after"});
+  });
+  CHECK(error.empty());
+  records found;
+  CHECK(Reopen(temporary_folder::Read(path_), found).empty());
+  records expected = FirstBatches(kBatches.size());
+  expected.emplace_back("after");
+  CHECK(found == expected);
+}
+
+// Guards against a front cut that loses the rest or later appends.
+TEST_CASE_METHOD(log_file_fixture,
+                 "log file / rewritten / holds the new records and appends") {
+  const std::string error = ErrorOf([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(log, log_file::Open(path_));
+    BOOST_LEAF_CHECK(log.file.Rewrite({"base", "tail"}));
+    return log.file.Append({"next"});
+  });
+  CHECK(error.empty());
+  records found;
+  CHECK(Reopen(temporary_folder::Read(path_), found).empty());
+  CHECK(found == records{"base", "tail", "next"});
+}
+
+// Guards against a full disk that passes for a successful write.
+TEST_CASE_METHOD(log_file_fixture,
+                 "storage file / disk full / error names the file") {
+  const std::string error = ErrorOf([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(file, storage_file::Open("/dev/full", O_WRONLY));
+    return file.Write(0, "content");
+  });
+  CHECK(error.find("/dev/full at byte 0: cannot write") == 0);
+}
+
+// Guards against a damaged snapshot that is restored.
+TEST_CASE_METHOD(log_file_fixture,
+                 "snapshot file / damaged or cut anywhere / error") {
+  const std::string path = folder_.File("snapshot");
+  const std::string content = "state" + std::string(50, '\0');
+  std::optional<std::string> found;
+  const auto read = [&]() -> leaf::result<void> {
+    BOOST_LEAF_ASSIGN(found, snapshot_file::Read(path));
+    return {};
+  };
+  CHECK(ErrorOf(read).empty());
+  CHECK_FALSE(found.has_value());
+  CHECK(ErrorOf([&] { return snapshot_file::Write(path, content); }).empty());
+  CHECK(ErrorOf(read).empty());
+  CHECK(found == content);
+  const std::string bytes = temporary_folder::Read(path);
+  for (std::size_t offset = 0; offset < bytes.size(); ++offset) {
+    std::string damaged = bytes;
+    damaged[offset] = static_cast<char>(damaged[offset] ^ 0x10);
+    temporary_folder::Write(path, damaged);
+    CHECK(ErrorOf(read).find(path + " at byte 0: ") == 0);
+    temporary_folder::Write(path, bytes.substr(0, offset));
+    CHECK(ErrorOf(read).find(path + " at byte 0: ") == 0);
+  }
+}
+
+}  // namespace
+}  // namespace almond
