Add the plain path from caller to endpoint and back

Cause: the shape of the code is to be set by one path that runs end to end before parts are built side by side. Before: no request could be served. Conclusion: agent and entry can now be worked on separately.

--- /dev/null
+++ b/src/libalmond/controllers/entry/grant_pool.cc
@@ -0,0 +1,58 @@
+#include "libalmond/controllers/entry/grant_pool.h"
+
+#include <algorithm>
+
+namespace almond {
+
+void grant_pool::Add(link_id agent, grant_id grant, milliseconds lease) {
+  agents_[agent].push_back({grant, clock_.SteadyNow() + lease - kLeaseMargin});
+}
+
+std::optional<held_grant> grant_pool::Take() {
+  DropExpired();
+  auto best = agents_.end();
+  double best_rank = 0;
+  for (auto candidate = agents_.begin(); candidate != agents_.end();
+       ++candidate) {
+    if (candidate->second.empty()) continue;
+    const auto rank = rank_(candidate->first, candidate->second.size());
+    if (!rank || (best != agents_.end() && *rank <= best_rank)) continue;
+    best = candidate;
+    best_rank = *rank;
+  }
+  if (best == agents_.end()) return std::nullopt;
+  const held_grant result{best->first, best->second.front().grant};
+  best->second.pop_front();
+  return result;
+}
+
+std::vector<grant_id> grant_pool::TakeForReturn(link_id agent,
+                                                std::uint32_t count) {
+  DropExpired();
+  std::vector<grant_id> result;
+  const auto position = agents_.find(agent);
+  if (position == agents_.end()) return result;
+  while (result.size() < count && !position->second.empty()) {
+    result.push_back(position->second.back().grant);
+    position->second.pop_back();
+  }
+  return result;
+}
+
+void grant_pool::RemoveAgent(link_id agent) { agents_.erase(agent); }
+
+std::size_t grant_pool::size() {
+  DropExpired();
+  std::size_t total = 0;
+  for (const auto& [agent, grants] : agents_) total += grants.size();
+  return total;
+}
+
+void grant_pool::DropExpired() {
+  const steady_time now = clock_.SteadyNow();
+  for (auto& [agent, grants] : agents_) {
+    while (!grants.empty() && grants.front().end <= now) grants.pop_front();
+  }
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/filters/deadline_filter.h
@@ -0,0 +1,14 @@
+#ifndef ALMOND_FILTERS_DEADLINE_FILTER_H_
+#define ALMOND_FILTERS_DEADLINE_FILTER_H_
+
+#include "libalmond/filters/filter_chain.h"
+
+namespace almond {
+
+/// Sets the deadline from the caller's timeout, within the service's limit.
+/// @param clock source of time
+request_filter MakeDeadlineFilter(const clock_interface& clock);
+
+}  // namespace almond
+
+#endif  // ALMOND_FILTERS_DEADLINE_FILTER_H_
--- /dev/null
+++ b/src/libalmond/filters/draining_filter.h
@@ -0,0 +1,16 @@
+#ifndef ALMOND_FILTERS_DRAINING_FILTER_H_
+#define ALMOND_FILTERS_DRAINING_FILTER_H_
+
+#include <functional>
+
+#include "libalmond/filters/filter_chain.h"
+
+namespace almond {
+
+/// Refuses all requests once the process shuts down.
+/// @param draining true after the first signal to end
+request_filter MakeDrainingFilter(std::function<bool()> draining);
+
+}  // namespace almond
+
+#endif  // ALMOND_FILTERS_DRAINING_FILTER_H_
--- /dev/null
+++ b/src/libalmond/filters/entry_filters.cc
@@ -0,0 +1,23 @@
+#include "libalmond/filters/entry_filters.h"
+
+#include "libalmond/filters/deadline_filter.h"
+#include "libalmond/filters/draining_filter.h"
+#include "libalmond/filters/rule_filter.h"
+#include "libalmond/filters/service_filter.h"
+#include "libalmond/filters/size_filter.h"
+#include "libalmond/filters/team_filter.h"
+
+namespace almond {
+
+filter_chain MakeEntryFilters(const entry_filter_inputs& inputs) {
+  return filter_chain({
+      MakeDrainingFilter(inputs.draining),
+      MakeServiceFilter(inputs.config),
+      MakeTeamFilter(inputs.config),
+      MakeSizeFilter(),
+      MakeRuleFilter(),
+      MakeDeadlineFilter(inputs.clock),
+  });
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/filters/rule_filter.h
@@ -0,0 +1,14 @@
+#ifndef ALMOND_FILTERS_RULE_FILTER_H_
+#define ALMOND_FILTERS_RULE_FILTER_H_
+
+#include "libalmond/filters/filter_chain.h"
+
+namespace almond {
+
+/// Applies the service's rule for the request's kind; without one the request
+/// is non-idempotent.
+request_filter MakeRuleFilter();
+
+}  // namespace almond
+
+#endif  // ALMOND_FILTERS_RULE_FILTER_H_
--- /dev/null
+++ b/src/libalmond/filters/service_filter.cc
@@ -0,0 +1,23 @@
+#include "libalmond/filters/service_filter.h"
+
+namespace almond {
+
+request_filter MakeServiceFilter(std::function<const site_config*()> config) {
+  return [config = std::move(config)](
+             request_context& request) -> std::optional<refusal> {
+    const site_config* site = config();
+    if (site == nullptr) {
+      return refusal{refusal_reason::no_configuration, run_outcome::not_run,
+                     ""};
+    }
+    const auto found = site->services.find(request.service);
+    if (found == site->services.end()) {
+      return refusal{refusal_reason::unknown_service, run_outcome::not_run,
+                     "service " + request.service.Value()};
+    }
+    request.config = &found->second;
+    return std::nullopt;
+  };
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/filters/service_filter.h
@@ -0,0 +1,17 @@
+#ifndef ALMOND_FILTERS_SERVICE_FILTER_H_
+#define ALMOND_FILTERS_SERVICE_FILTER_H_
+
+#include <functional>
+
+#include "libalmond/filters/filter_chain.h"
+
+namespace almond {
+
+/// Finds the service's settings; refuses unknown services, and all requests
+/// while there is no configuration.
+/// @param config the configuration in force, null while there is none
+request_filter MakeServiceFilter(std::function<const site_config*()> config);
+
+}  // namespace almond
+
+#endif  // ALMOND_FILTERS_SERVICE_FILTER_H_
--- /dev/null
+++ b/src/libalmond/processes/entry_codec.cc
@@ -0,0 +1,286 @@
+#include "libalmond/processes/entry_codec.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace almond {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr std::string_view kJobsPrefix = "/v1/jobs/";
+constexpr std::size_t kMaxNameBytes = 200;
+
+refusal NotRun(refusal_reason reason, std::string detail) {
+  return {reason, run_outcome::not_run, std::move(detail)};
+}
+
+/// Reads a header that may stand once.
+std::variant<std::string, refusal> SingleHeader(const http_request& request,
+                                                const std::string& name) {
+  const auto values = HeaderValues(request.headers, name);
+  if (values.size() > 1) {
+    return NotRun(refusal_reason::bad_header, name + " is given twice");
+  }
+  return values.empty() ? std::string() : values.front();
+}
+
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return value;
+}
+
+std::optional<refusal> ReadTimeout(const std::string& text,
+                                   request_context& context) {
+  if (text.empty()) return std::nullopt;
+  constexpr std::uint64_t kMaxTimeout = 86'400'000;
+  const auto value = ParseNumber(text);
+  if (!value || *value == 0 || *value > kMaxTimeout) {
+    return NotRun(refusal_reason::bad_header,
+                  "Almond-Timeout-Ms is a number of milliseconds from 1 to "
+                  "86400000");
+  }
+  context.timeout = milliseconds(*value);
+  return std::nullopt;
+}
+
+std::optional<refusal> ReadSubmission(const std::string& text,
+                                      request_context& context) {
+  if (text.empty()) return std::nullopt;
+  context.submission = uuid::Parse(text);
+  if (context.submission && context.submission->IsV7()) return std::nullopt;
+  return NotRun(refusal_reason::bad_submission_id,
+                "Almond-Submission is a version 7 UUID");
+}
+
+std::optional<refusal> ReadHeaders(const http_request& request,
+                                   request_context& context) {
+  std::map<std::string, std::string> values;
+  for (const char* name : {"Almond-Submission", "Almond-Timeout-Ms",
+                           "Almond-Kind", "Almond-Team"}) {
+    auto value = SingleHeader(request, name);
+    if (auto* refused = std::get_if<refusal>(&value)) return *refused;
+    values[name] = std::get<std::string>(value);
+    if (values[name].size() > kMaxNameBytes) {
+      return NotRun(refusal_reason::bad_header,
+                    std::string(name) + " is too long");
+    }
+  }
+  context.kind = request_kind(values["Almond-Kind"]);
+  context.team = team_id(values["Almond-Team"]);
+  if (auto refused = ReadTimeout(values["Almond-Timeout-Ms"], context)) {
+    return refused;
+  }
+  return ReadSubmission(values["Almond-Submission"], context);
+}
+
+bool ReadCount(const json& object, const char* key, std::uint64_t& value) {
+  if (!object.contains(key)) return true;
+  if (!object[key].is_number_unsigned()) return false;
+  value = object[key].get<std::uint64_t>();
+  return value <= UINT32_MAX;
+}
+
+std::optional<refusal> ReadTask(const json& object, std::size_t index,
+                                request_context& context) {
+  const std::string place = "tasks[" + std::to_string(index) + "]";
+  if (!object.is_object() || !object.contains("body") ||
+      !object["body"].is_string()) {
+    return NotRun(refusal_reason::bad_request, place + ".body is a string");
+  }
+  std::uint64_t declared = 0;
+  std::uint64_t cpu = 0;
+  std::uint64_t memory = 0;
+  if (!ReadCount(object, "declared_ms", declared) ||
+      !ReadCount(object, "cpu_milli", cpu) ||
+      !ReadCount(object, "memory_mib", memory)) {
+    return NotRun(refusal_reason::bad_request,
+                  place +
+                      ": declared_ms, cpu_milli and memory_mib are "
+                      "numbers from 0 to 4294967295");
+  }
+  task_request task;
+  task.body = object["body"].get<std::string>();
+  task.size.run_time = milliseconds(declared);
+  task.size.cpu_milli = static_cast<std::uint32_t>(cpu);
+  task.size.memory_mib = static_cast<std::uint32_t>(memory);
+  context.tasks.push_back(std::move(task));
+  return std::nullopt;
+}
+
+/// Tells text that is not UTF-8 from other faults, since the JSON parser
+/// reports both as a syntax error.
+bool IsUtf8(const std::string& text) {
+  try {
+    return !json(text).dump().empty();
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+std::optional<refusal> ReadJob(const std::string& body,
+                               request_context& context) {
+  const json object = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (object.is_discarded()) {
+    if (!IsUtf8(body)) {
+      return NotRun(refusal_reason::bad_utf8, "the body is not UTF-8");
+    }
+    return NotRun(refusal_reason::bad_json, "the body is not JSON");
+  }
+  if (!object.is_object() || !object.contains("tasks") ||
+      !object["tasks"].is_array() || object["tasks"].empty()) {
+    return NotRun(refusal_reason::bad_request,
+                  "tasks is a list of at least one task");
+  }
+  for (std::size_t i = 0; i < object["tasks"].size(); ++i) {
+    if (auto refused = ReadTask(object["tasks"][i], i, context)) return refused;
+  }
+  return std::nullopt;
+}
+
+struct status_row {
+  refusal_reason reason;
+  int status;
+};
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+
+constexpr std::array<status_row, kRefusalReasonCount> kStatuses = {{
+    {refusal_reason::bad_request, kBadRequest},
+    {refusal_reason::bad_json, kBadRequest},
+    {refusal_reason::bad_utf8, kBadRequest},
+    {refusal_reason::bad_header, kBadRequest},
+    {refusal_reason::bad_submission_id, kBadRequest},
+    {refusal_reason::unknown_service, kNotFound},
+    {refusal_reason::unknown_path, kNotFound},
+    {refusal_reason::unknown_job, kNotFound},
+    {refusal_reason::unknown_team, kBadRequest},
+    {refusal_reason::body_too_large, 413},
+    {refusal_reason::too_many_tasks, 422},
+    {refusal_reason::exceeds_capacity, 422},
+    {refusal_reason::team_quota, 429},
+    {refusal_reason::overloaded, kUnavailable},
+    {refusal_reason::no_endpoint, kUnavailable},
+    {refusal_reason::draining, kUnavailable},
+    {refusal_reason::ledger_unavailable, kUnavailable},
+    {refusal_reason::no_configuration, kUnavailable},
+    {refusal_reason::submission_conflict, kConflict},
+    {refusal_reason::submission_expired, 410},
+    {refusal_reason::deadline_in_queue, kGatewayTimeout},
+    {refusal_reason::deadline_running, kGatewayTimeout},
+    {refusal_reason::cancelled, kConflict},
+    {refusal_reason::task_failed, kBadGateway},
+    {refusal_reason::endpoint_refused, kUnavailable},
+    {refusal_reason::endpoint_lost, kBadGateway},
+    {refusal_reason::agent_lost, kBadGateway},
+    {refusal_reason::owner_lost, kBadGateway},
+    {refusal_reason::answer_lost, kBadGateway},
+}};
+
+std::string Dump(const json& object) {
+  // Bytes of an endpoint's answer that are not UTF-8 are replaced, since JSON
+  // cannot carry them.
+  return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json RefusalObject(const refusal& refused) {
+  json object = {{"reason", Name(refused.reason)},
+                 {"outcome", Name(refused.outcome)}};
+  if (!refused.detail.empty()) object["detail"] = refused.detail;
+  return object;
+}
+
+http_response JsonResponse(int status, const json& object) {
+  return {status, {{"Content-Type", "application/json"}}, Dump(object)};
+}
+
+}  // namespace
+
+std::variant<request_context, refusal> ParseSubmission(
+    const http_request& request) {
+  const std::string_view path = request.path;
+  const std::size_t slash = path.find('/', kServicesPrefix.size());
+  if (path.rfind(kServicesPrefix, 0) != 0 || slash == std::string_view::npos) {
+    return NotRun(refusal_reason::unknown_path, request.path);
+  }
+  request_context context;
+  context.service = service_id(std::string(
+      path.substr(kServicesPrefix.size(), slash - kServicesPrefix.size())));
+  const std::string_view action = path.substr(slash + 1);
+  context.is_job = action == "jobs";
+  if (request.method != "POST" || (!context.is_job && action != "requests")) {
+    return NotRun(refusal_reason::unknown_path,
+                  request.method + " " + request.path);
+  }
+  if (auto refused = ReadHeaders(request, context)) return *refused;
+  if (!context.is_job) {
+    context.tasks.push_back({request.body, {}});
+    return context;
+  }
+  if (auto refused = ReadJob(request.body, context)) return *refused;
+  return context;
+}
+
+std::variant<uuid, refusal> ParseJobPath(const std::string& path) {
+  const auto id =
+      uuid::Parse(std::string_view(path).substr(kJobsPrefix.size()));
+  if (id && id->IsV7()) return *id;
+  return NotRun(refusal_reason::bad_submission_id,
+                "the path ends with a version 7 UUID");
+}
+
+int HttpStatus(refusal_reason reason) {
+  return kStatuses.at(static_cast<std::size_t>(reason)).status;
+}
+
+http_response RefusalResponse(const refusal& refused) {
+  http_response response =
+      JsonResponse(HttpStatus(refused.reason), RefusalObject(refused));
+  response.headers.emplace_back("Almond-Outcome", Name(refused.outcome));
+  return response;
+}
+
+http_response RequestResponse(const job_answer& answer) {
+  if (const auto* failed = std::get_if<job_failed>(&answer)) {
+    return RefusalResponse(failed->cause);
+  }
+  return {200,
+          {{"Content-Type", "application/octet-stream"}},
+          std::get<job_complete>(answer).bodies.front()};
+}
+
+http_response JobResponse(const job_answer& answer) {
+  if (const auto* complete = std::get_if<job_complete>(&answer)) {
+    json object = {{"state", "complete"}, {"results", json::array()}};
+    for (const std::string& body : complete->bodies) {
+      object["results"].push_back({{"status", 200}, {"body", body}});
+    }
+    return JsonResponse(200, object);
+  }
+  const auto& failed = std::get<job_failed>(answer);
+  json object = RefusalObject(failed.cause);
+  object["state"] = "failed";
+  object["tasks"] = json::array();
+  for (const auto& [index, failure] : failed.tasks) {
+    json task = RefusalObject(failure);
+    task["index"] = index;
+    object["tasks"].push_back(std::move(task));
+  }
+  http_response response =
+      JsonResponse(HttpStatus(failed.cause.reason), object);
+  response.headers.emplace_back("Almond-Outcome", Name(failed.cause.outcome));
+  return response;
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/entry_codec.h
@@ -0,0 +1,37 @@
+#ifndef ALMOND_PROCESSES_ENTRY_CODEC_H_
+#define ALMOND_PROCESSES_ENTRY_CODEC_H_
+
+#include <string>
+#include <variant>
+
+#include "libalmond/controllers/entry/job_controller.h"
+#include "libalmond/core/outcome.h"
+#include "libalmond/filters/request_context.h"
+#include "libalmond/net/http_message.h"
+
+namespace almond {
+
+/// Reads a caller's POST into a request, or says why it is not one.
+/// @param request path of the form /v1/services/{service}/requests or .../jobs
+std::variant<request_context, refusal> ParseSubmission(
+    const http_request& request);
+
+/// @param path of the form /v1/jobs/{submission}
+/// @returns the submission, or the refusal of a malformed path or id
+std::variant<uuid, refusal> ParseJobPath(const std::string& path);
+
+/// @returns the HTTP status of a refusal
+int HttpStatus(refusal_reason reason);
+
+/// @returns the response to a refused or failed request
+http_response RefusalResponse(const refusal& refused);
+
+/// @returns the response to a single request
+http_response RequestResponse(const job_answer& answer);
+
+/// @returns the response to a job
+http_response JobResponse(const job_answer& answer);
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_ENTRY_CODEC_H_
