--- a/src/libalmond/processes/entry_codec.cc
+++ b/src/libalmond/processes/entry_codec.cc
@@ -118,7 +118,8 @@
 /// reports both as a syntax error.
 bool IsUtf8(const std::string& text) {
   try {
-    return !json(text).dump().empty();
+    const json probe = text;
+    return !probe.dump().empty();
   } catch (const json::exception&) {
     return false;
   }
@@ -233,8 +234,8 @@
 }
 
 std::variant<uuid, refusal> ParseJobPath(const std::string& path) {
-  const auto id =
-      uuid::Parse(std::string_view(path).substr(kJobsPrefix.size()));
+  const std::string_view text = path;
+  const auto id = uuid::Parse(text.substr(kJobsPrefix.size()));
   if (id && id->IsV7()) return *id;
   return NotRun(refusal_reason::bad_submission_id,
                 "the path ends with a version 7 UUID");
