--- /dev/null
+++ b/src/libalmond/config/config_limits.h
@@ -0,0 +1,39 @@
+#ifndef ALMOND_CONFIG_CONFIG_LIMITS_H_
+#define ALMOND_CONFIG_CONFIG_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "libalmond/core/clock.h"
+
+namespace almond {
+
+/// Size of the base file and all overlays together, in bytes. A document
+/// travels in one message, and every process fetches it after each change.
+inline constexpr std::size_t kMaxDocumentBytes = std::size_t{1} << 20U;
+/// Nesting levels of the YAML text; the schema needs six.
+inline constexpr std::size_t kMaxYamlDepth = 16;
+/// Faults that are listed; more would hide the first ones.
+inline constexpr std::size_t kMaxListedErrors = 1000;
+
+/// Characters in a name of a data centre, team, service or kind.
+inline constexpr std::size_t kMaxNameLength = 64;
+inline constexpr std::size_t kMaxDataCentres = 64;
+inline constexpr std::size_t kMaxTeams = 512;
+inline constexpr std::size_t kMaxServices = 512;
+inline constexpr std::size_t kMaxRulesPerService = 256;
+
+/// An agent forgets the names of started tasks after ten minutes, so a request
+/// must end before that.
+inline constexpr milliseconds kMaxTimeout = std::chrono::minutes(10);
+inline constexpr std::uint64_t kMaxTasksPerJob = 10000;
+/// Bytes of a request body; a response of this size fits the HTTP client.
+inline constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{16} << 20U;
+/// Share of a team among teams with queued work.
+inline constexpr std::uint64_t kMaxWeight = 1000;
+/// Tasks of a team, for each entry.
+inline constexpr std::uint64_t kMaxTeamTasks = 1'000'000;
+
+}  // namespace almond
+
+#endif  // ALMOND_CONFIG_CONFIG_LIMITS_H_
--- /dev/null
+++ b/src/libalmond/report/metrics_text.h
@@ -0,0 +1,36 @@
+#ifndef ALMOND_REPORT_METRICS_TEXT_H_
+#define ALMOND_REPORT_METRICS_TEXT_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almond {
+
+/// The metrics of one process, read back from the Prometheus text format.
+class metrics_text {
+ public:
+  /// @param text exposition of one process; lines that are no sample are
+  ///   passed over
+  static metrics_text Parse(std::string_view text);
+
+  /// @param name metric name
+  /// @param labels label list as shown between braces, or empty
+  /// @returns the value, or nothing if the process does not expose it
+  std::optional<double> Value(const std::string& name,
+                              const std::string& labels = "") const;
+  /// @returns sum over all labels, or nothing without a sample
+  std::optional<double> Sum(const std::string& name) const;
+  /// @returns values by the content of the only label, such as the reason
+  std::map<std::string, double> ByLabel(const std::string& name) const;
+  /// @returns all samples, as name and labels in braces
+  const std::map<std::string, double>& Samples() const { return samples_; }
+
+ private:
+  std::map<std::string, double> samples_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_REPORT_METRICS_TEXT_H_
