Print the detail and the failed tasks of a refused job

Cause: an entry answers a failed job with a detail and a list of tasks, which almondctl left out; a 502 whose outcome stands only in the body counted as no answer.

Change: refusals show outcome, detail and each failed task; the outcome is read from the header or the body; an empty body of a successful answer is accepted.

Before: the new case "submit / job failed" failed with exit code 3 instead of 1.

After: test_almondctl passes, 383 assertions in 13 cases (release build); lint is clean. Under the sanitizers all assertions pass and the leak check still reports the 13 connections of net/http_client.cc.

Conclusion: the operator sees which task failed and what is known about it.

--- a/src/libalmond/operator_commands/reply_printer.cc
+++ b/src/libalmond/operator_commands/reply_printer.cc
@@ -22,6 +22,26 @@
   return errors;
 }
 
+// The outcome as the header or the body states it, or an empty text.
+std::string Outcome(const http_response& response) {
+  std::string outcome = HeaderValue(response.headers, "Almond-Outcome");
+  if (!outcome.empty()) return outcome;
+  return TextMember(ParseReply(response.body), "outcome");
+}
+
+// Prints the failed tasks of a job.
+void PrintTasks(std::ostream& out, const json& body) {
+  const json& tasks = Member(body, "tasks");
+  if (!tasks.is_array()) return;
+  for (const json& task : tasks) {
+    out << "task " << NumberMember(task, "index") << ": "
+        << TextMember(task, "reason") << "; outcome "
+        << TextMember(task, "outcome");
+    const std::string detail = TextMember(task, "detail");
+    out << (detail.empty() ? "" : "; ") << detail << "\n";
+  }
+}
+
 exit_code PrintRefusal(const operator_context& context,
                        const http_response& response) {
   const json body = ParseReply(response.body);
@@ -36,11 +56,13 @@
   } else if (reason == "change-id-conflict") {
     context.err << "; the change id names another change";
   }
-  std::string outcome = HeaderValue(response.headers, "Almond-Outcome");
-  if (outcome.empty()) outcome = TextMember(body, "outcome");
+  const std::string outcome = Outcome(response);
   if (!outcome.empty()) context.err << "; outcome " << outcome;
+  const std::string detail = TextMember(body, "detail");
+  if (!detail.empty()) context.err << "; " << detail;
   context.err << "\n";
   PrintErrors(context.err, Errors(body));
+  PrintTasks(context.err, body);
   return outcome == "unknown" ? exit_code::no_answer : exit_code::refused;
 }
 
@@ -52,7 +74,8 @@
   const bool accepted = response.status == kOk || response.status == kNoContent;
   if (!accepted) return PrintRefusal(context, response);
   const json body = ParseReply(response.body);
-  if (response.status == kOk && body.is_discarded()) {
+  const bool empty = response.body.empty();
+  if (!empty && body.is_discarded()) {
     context.err << "the answer is no JSON\n";
     return exit_code::no_answer;
   }
@@ -91,9 +114,9 @@
                              const reply_hook& print) {
   if (result.outcome == http_call_outcome::answered) {
     const exit_code code = PrintResponse(line, context, result.response, print);
-    const bool silent =
-        result.response.status >= kFirstServerError &&
-        HeaderValue(result.response.headers, "Almond-Outcome").empty();
+    // A server error that does not say what ran leaves it unknown.
+    const bool silent = result.response.status >= kFirstServerError &&
+                        Outcome(result.response).empty();
     return silent ? exit_code::no_answer : code;
   }
   const bool sent = result.outcome == http_call_outcome::lost;
--- a/tests/almondctl/control_commands_test.cc
+++ b/tests/almondctl/control_commands_test.cc
@@ -301,6 +301,22 @@
   CHECK(request.body == files_["job.json"]);
 }
 
+// Guards against a failed job whose failed tasks the operator cannot see.
+TEST_CASE_METHOD(almondctl_fixture,
+                 "submit / job failed / prints the reason and each task") {
+  fake_server entry(loop_);
+  entry.responses = {Reply(502, R"({"state":"failed","reason":"task-failed",
+    "outcome":"ran","detail":"1 of 2","tasks":[
+    {"index":1,"reason":"task-failed","outcome":"ran","detail":"status 500"},
+    {"index":2,"reason":"cancelled","outcome":"not-run"}]})")};
+  CHECK(Run({"submit", "--entry", entry.Url(), "--service", "s", "--job",
+             "job.json"}) == 1);
+  CHECK(err_.str() ==
+        "refused: task-failed; outcome ran; 1 of 2\n"
+        "task 1: task-failed; outcome ran; status 500\n"
+        "task 2: cancelled; outcome not-run\n");
+}
+
 // Guards against a dead entry that hides the others' measures.
 TEST_CASE_METHOD(almondctl_fixture,
                  "report / one of two entries is gone / shows the other") {
