Harden the dispatch controller against lost and doubled messages

Cause: tasks in flight were scanned as a whole each tick, a second connection of an agent left the first one's tasks behind, and nothing ejected failing endpoints or bounded attempts that prove not to have run.

--- /dev/null
+++ b/src/libalmond/controllers/entry/dispatch_doubt.cc
@@ -0,0 +1,129 @@
+#include <utility>
+
+#include "libalmond/controllers/entry/dispatch_controller.h"
+
+namespace almond {
+
+void dispatch_controller::OnAgentClosed(link_id link) {
+  if (agent_record* agent = ByLink(link)) Detach(*agent);
+}
+
+void dispatch_controller::Detach(agent_record& agent) {
+  const link_id link = *agent.link;
+  agent.link.reset();
+  agent.closed = clock_.SteadyNow();
+  links_.erase(link);
+  for (auto& [service, state] : services_) state->grants.RemoveAgent(link);
+  for (const task_name& name : flights_.At(agent.announced.agent)) {
+    flight& record = *flights_.Find(name);
+    // A task that is already in doubt keeps the time of its first loss, so
+    // that connections that come and go cannot hold it for ever.
+    if (!record.in_doubt_since) record.in_doubt_since = agent.closed;
+    flights_.Arm(record);
+  }
+  std::vector<query_hook> unanswered;
+  for (auto query = queries_.begin(); query != queries_.end();) {
+    if (query->second.link != link) {
+      ++query;
+      continue;
+    }
+    unanswered.push_back(std::move(query->second.on_answer));
+    query = queries_.erase(query);
+  }
+  for (const query_hook& on_answer : unanswered) on_answer(std::nullopt);
+}
+
+void dispatch_controller::QueryInDoubt(const agent_record& agent) {
+  std::map<incarnation_id, std::vector<task_name>> names;
+  for (const task_name& name : flights_.At(agent.announced.agent)) {
+    flight& record = *flights_.Find(name);
+    if (!record.in_doubt_since) continue;
+    record.link = *agent.link;
+    names[record.incarnation].push_back(name);
+  }
+  for (auto& [incarnation, doubtful] : names) {
+    query_message query;
+    query.query = ++last_query_;
+    query.incarnation = incarnation;
+    query.names = std::move(doubtful);
+    query.fence = true;
+    metrics_.query.Add();
+    metrics_.wasted_query.Add();
+    hooks_.send(*agent.link, query);
+  }
+}
+
+void dispatch_controller::Query(link_id agent, query_message query,
+                                query_hook on_answer) {
+  query.query = ++last_query_;
+  queries_[query.query] = {agent, std::move(on_answer)};
+  metrics_.query.Add();
+  hooks_.send(agent, query);
+}
+
+std::vector<connected_agent> dispatch_controller::Connected(
+    const service_id& service) const {
+  std::vector<connected_agent> result;
+  const auto found = services_.find(service);
+  if (found == services_.end()) return result;
+  for (const agent_id& id : found->second->agents) {
+    const agent_record& agent = agents_.at(id);
+    if (!agent.link) continue;
+    result.push_back({*agent.link, id, agent.announced.incarnation});
+  }
+  return result;
+}
+
+void dispatch_controller::OnQueryAnswer(link_id link,
+                                        const query_answer_message& message) {
+  const auto asked = queries_.find(message.query);
+  if (asked != queries_.end()) {
+    if (asked->second.link != link) return;
+    const query_hook on_answer = std::move(asked->second.on_answer);
+    queries_.erase(asked);
+    on_answer(message);
+    return;
+  }
+  std::set<service_id> services;
+  for (const task_report& report : message.tasks) {
+    flight* record = flights_.Find(report.name);
+    // A doubled or late answer finds its task ended, or no longer in doubt.
+    if (record == nullptr || record->link != link || !record->in_doubt_since) {
+      continue;
+    }
+    services.insert(record->item.work.service);
+    record->in_doubt_since.reset();
+    flights_.Arm(*record);
+    Resolve(report, record->incarnation == message.incarnation);
+  }
+  for (const service_id& service : services) Dispatch(service);
+}
+
+void dispatch_controller::Resolve(const task_report& report,
+                                  bool same_incarnation) {
+  const flight& record = *flights_.Find(report.name);
+  task_state state = report.state;
+  // Another incarnation cannot know that the task never started.
+  if (!same_incarnation) state = task_state::unknown;
+  switch (state) {
+    case task_state::running:
+      // The cancel may have been lost with the connection.
+      if (record.cancelled || record.overdue) SendCancels({report.name});
+      return;
+    case task_state::ended: {
+      answer_message answer = report.answer;
+      answer.name = report.name;
+      Conclude(answer);
+      return;
+    }
+    case task_state::never:
+    case task_state::fenced:
+      Requeue(report.name, retry_reason::fenced);
+      return;
+    case task_state::unknown:
+      GiveUp(report.name);
+      return;
+  }
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/entry/dispatch_messages.cc
@@ -0,0 +1,231 @@
+#include <utility>
+
+#include "libalmond/controllers/entry/dispatch_controller.h"
+
+namespace almond {
+
+void dispatch_controller::OnMessage(link_id agent,
+                                    const agent_message& message) {
+  if (const auto* announce = std::get_if<announce_message>(&message)) {
+    OnAnnounce(agent, *announce);
+  } else if (const auto* grant = std::get_if<grant_message>(&message)) {
+    OnGrant(agent, *grant);
+  } else if (const auto* recall = std::get_if<recall_message>(&message)) {
+    OnRecall(agent, *recall);
+  } else if (const auto* answer = std::get_if<answer_message>(&message)) {
+    OnAnswer(agent, *answer);
+  } else if (const auto* reports =
+                 std::get_if<query_answer_message>(&message)) {
+    OnQueryAnswer(agent, *reports);
+  }
+}
+
+void dispatch_controller::OnAnnounce(link_id link,
+                                     const announce_message& message) {
+  agent_record& agent = agents_[message.agent];
+  // Links are numbered in the order in which they were accepted; an older one
+  // is a connection that has been replaced.
+  if (link < agent.newest_link) return;
+  agent.newest_link = link;
+  const bool first = agent.link != link;
+  if (first && agent.link) {
+    const link_id replaced = *agent.link;
+    Detach(agent);
+    if (hooks_.close) hooks_.close(replaced);
+  }
+  const service_id before = agent.announced.service;
+  if (agent.announced.incarnation != message.incarnation) {
+    agent.forgets.clear();
+  }
+  agent.announced = message;
+  agent.link = link;
+  links_[link] = message.agent;
+  if (before != message.service || !agent.Usable()) {
+    ReturnGrants(link, UINT32_MAX);
+    if (before != message.service && !before.Empty()) {
+      Service(before).agents.erase(message.agent);
+    }
+  }
+  if (!message.service.Empty()) {
+    Service(message.service).agents.insert(message.agent);
+  }
+  if (first) {
+    agent.told_backlog = 0;
+    agent.told_overloaded = false;
+    QueryInDoubt(agent);
+  }
+  if (!message.service.Empty()) TellDemand(message.service);
+}
+
+void dispatch_controller::OnGrant(link_id link, const grant_message& message) {
+  metrics_.grant.Add();
+  const agent_record* agent = ByLink(link);
+  if (agent == nullptr || !agent->Usable()) return;
+  const service_id service = agent->announced.service;
+  for (const grant_id grant : message.grants) {
+    Service(service).grants.Add(link, grant, message.lease);
+  }
+  Dispatch(service);
+}
+
+void dispatch_controller::OnRecall(link_id link,
+                                   const recall_message& message) {
+  metrics_.recall.Add();
+  metrics_.wasted_recall.Add();
+  ReturnGrants(link, message.count);
+}
+
+void dispatch_controller::ReturnGrants(link_id link, std::uint32_t count) {
+  return_grants_message unused;
+  for (auto& [service, state] : services_) {
+    const auto grants = state->grants.TakeForReturn(
+        link, count - static_cast<std::uint32_t>(unused.grants.size()));
+    unused.grants.insert(unused.grants.end(), grants.begin(), grants.end());
+  }
+  if (unused.grants.empty()) return;
+  metrics_.returned.Add();
+  metrics_.wasted_return.Add();
+  hooks_.send(link, unused);
+}
+
+void dispatch_controller::OnAnswer(link_id link,
+                                   const answer_message& message) {
+  // Lease of a grant that comes with an answer.
+  constexpr milliseconds kNextGrantLease{2000};
+  metrics_.answer.Add();
+  const agent_record* agent = ByLink(link);
+  if (agent == nullptr) return;
+  const service_id service = agent->announced.service;
+  if (message.next_grant && agent->Usable()) {
+    Service(service).grants.Add(link, *message.next_grant, kNextGrantLease);
+  }
+  const flight* record = flights_.Find(message.name);
+  if (record != nullptr && record->link == link) {
+    Conclude(message);
+  } else {
+    metrics_.late_answers.Add();
+  }
+  if (!service.Empty()) Dispatch(service);
+}
+
+void dispatch_controller::Conclude(const answer_message& answer) {
+  switch (answer.outcome) {
+    case start_outcome::done:
+      RecordHealth(flights_.Find(answer.name)->agent, true);
+      EndFlight(answer.name, task_success{answer.body}, answer.run_time);
+      return;
+    case start_outcome::failed:
+    case start_outcome::lost:
+      EndFailed(answer);
+      return;
+    case start_outcome::refused:
+      Requeue(answer.name, retry_reason::endpoint_refused);
+      return;
+    case start_outcome::not_sent:
+      Requeue(answer.name, retry_reason::start_not_sent);
+      return;
+    case start_outcome::fenced:
+      Requeue(answer.name, retry_reason::fenced);
+      return;
+  }
+}
+
+void dispatch_controller::EndFailed(const answer_message& answer) {
+  const flight& record = *flights_.Find(answer.name);
+  const bool ran = answer.outcome == start_outcome::failed;
+  refusal failure{
+      ran ? refusal_reason::task_failed : refusal_reason::endpoint_lost,
+      ran ? run_outcome::ran : run_outcome::unknown, ""};
+  if (record.overdue) {
+    failure.reason = refusal_reason::deadline_running;
+  } else if (record.cancelled) {
+    failure.reason = refusal_reason::cancelled;
+  } else {
+    // A task that was stopped on request says nothing about its endpoint.
+    RecordHealth(record.agent, false);
+    if (ran) {
+      failure.detail =
+          "endpoint answered with status " + std::to_string(answer.status);
+    }
+  }
+  EndFlight(answer.name, std::move(failure), answer.run_time);
+}
+
+void dispatch_controller::Requeue(const task_name& name, retry_reason reason) {
+  metrics_.wasted_start.Add();
+  flight ended = flights_.Remove(name);
+  queued_task item = std::move(ended.item);
+  item.avoid = ended.agent;
+  ++item.attempts;
+  if (ended.overdue || item.work.deadline <= clock_.SteadyNow()) {
+    EndQueued(std::move(item), refusal_reason::deadline_in_queue);
+  } else if (ended.cancelled) {
+    EndQueued(std::move(item), refusal_reason::cancelled);
+  } else if (item.attempts >= kMaxNotRunAttempts) {
+    EndQueued(std::move(item), refusal_reason::endpoint_refused);
+  } else {
+    metrics_.all.Retries(reason).Add();
+    const service_id service = item.work.service;
+    Service(service).queue.PushFront(std::move(item));
+  }
+}
+
+void dispatch_controller::EndFlight(const task_name& name, task_result result,
+                                    std::optional<duration> run_time) {
+  const steady_time now = clock_.SteadyNow();
+  flight ended = flights_.Remove(name);
+  const auto agent = agents_.find(ended.agent);
+  if (run_time) {
+    Service(ended.item.work.service).rate.AddEnd(now, *run_time);
+  }
+  if (run_time && !ended.item.work.named_submission && agent != agents_.end() &&
+      agent->second.announced.incarnation == ended.incarnation) {
+    agent->second.forgets.push_back(name);
+  }
+  task_end end;
+  end.wait = ended.started - ended.item.queued;
+  end.total = now - ended.item.queued;
+  end.run_time = run_time.value_or(duration(0));
+  end.work = std::move(ended.item.work);
+  end.agent = ended.agent;
+  end.result = std::move(result);
+  hooks_.on_end(end);
+}
+
+void dispatch_controller::RecordHealth(const agent_id& id, bool success) {
+  const auto found = agents_.find(id);
+  if (found == agents_.end()) return;
+  agent_record& agent = found->second;
+  const steady_time now = clock_.SteadyNow();
+  if (agent.health.Record(success, now)) {
+    metrics_.readmissions.Add();
+    return;
+  }
+  if (!agent.health.Suspect() || !MayEject(agent)) return;
+  agent.health.Eject(now);
+  metrics_.ejections.Add();
+  if (agent.link) ReturnGrants(*agent.link, UINT32_MAX);
+}
+
+bool dispatch_controller::MayEject(const agent_record& agent) const {
+  const auto service = services_.find(agent.announced.service);
+  if (service == services_.end()) return false;
+  std::size_t usable = 0;
+  std::size_t ejected = 0;
+  double others = 0;
+  for (const agent_id& id : service->second->agents) {
+    const agent_record& other = agents_.at(id);
+    if (!other.Usable()) continue;
+    ++usable;
+    if (other.health.Ejected()) ++ejected;
+    if (&other != &agent && !other.health.Ejected()) {
+      others += other.health.Success();
+    }
+  }
+  if (usable < 2 || (ejected + 1) * 2 > usable) return false;
+  // Work that fails everywhere is no fault of one endpoint.
+  const double mean = others / static_cast<double>(usable - ejected - 1);
+  return agent.health.Success() < mean / 2;
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/entry/ended_jobs.cc
@@ -0,0 +1,37 @@
+#include "libalmond/controllers/entry/ended_jobs.h"
+
+#include <utility>
+
+namespace almond {
+
+void ended_jobs::Add(const uuid& submission, std::string digest,
+                     job_answer answer) {
+  if (entries_.count(submission) > 0) return;
+  entry added{std::move(digest), std::move(answer), sizeof(entry)};
+  if (const auto* complete = std::get_if<job_complete>(&added.answer)) {
+    for (const std::string& body : complete->bodies) added.bytes += body.size();
+  }
+  bytes_ += added.bytes;
+  entries_.emplace(submission, std::move(added));
+  order_.push_back({clock_.SteadyNow() + kKeep, submission});
+  while (entries_.size() > kMaxJobs || bytes_ > kMaxBytes) DropOldest();
+}
+
+const ended_jobs::entry* ended_jobs::Find(const uuid& submission) const {
+  const auto found = entries_.find(submission);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+void ended_jobs::Expire() {
+  const steady_time now = clock_.SteadyNow();
+  while (!order_.empty() && order_.front().time <= now) DropOldest();
+}
+
+void ended_jobs::DropOldest() {
+  const auto found = entries_.find(order_.front().submission);
+  bytes_ -= found->second.bytes;
+  entries_.erase(found);
+  order_.pop_front();
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/entry/endpoint_health.cc
@@ -0,0 +1,39 @@
+#include "libalmond/controllers/entry/endpoint_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almond {
+
+bool endpoint_health::Record(bool success, steady_time now) {
+  if (ejected_) {
+    if (!success) {
+      backoff_ = std::min(backoff_ * 2, kLongestProbe);
+      probe_ = now + backoff_;
+      return false;
+    }
+    ejected_ = false;
+    failures_ = 0;
+    success_ = kReadmittedSuccess;
+    return true;
+  }
+  success_ += kNewestWeight * ((success ? 1.0 : 0.0) - success_);
+  failures_ = success ? 0 : failures_ + 1;
+  if (success) backoff_ = kFirstProbe;
+  return false;
+}
+
+void endpoint_health::Eject(steady_time now) {
+  ejected_ = true;
+  probe_ = now + backoff_;
+}
+
+std::uint32_t endpoint_health::AllowedTasks(std::uint32_t slots) const {
+  // Above this rate single failures are ordinary and cost no slots.
+  constexpr double kHealthy = 0.9;
+  if (success_ >= kHealthy) return std::max<std::uint32_t>(slots, 1);
+  const double allowed = std::floor(static_cast<double>(slots) * success_);
+  return std::max<std::uint32_t>(static_cast<std::uint32_t>(allowed), 1);
+}
+
+}  // namespace almond
--- a/src/libalmond/controllers/entry/grant_pool.cc
+++ b/src/libalmond/controllers/entry/grant_pool.cc
@@ -8,17 +8,20 @@
   agents_[agent].push_back({grant, clock_.SteadyNow() + lease - kLeaseMargin});
 }
 
-std::optional<held_grant> grant_pool::Take() {
+std::optional<held_grant> grant_pool::Take(
+    const std::function<bool(link_id)>& fits, std::optional<link_id> avoid) {
   DropExpired();
   auto best = agents_.end();
-  double best_rank = 0;
+  std::pair<bool, double> best_rank;
   for (auto candidate = agents_.begin(); candidate != agents_.end();
        ++candidate) {
     if (candidate->second.empty()) continue;
-    const auto rank = rank_(candidate->first, candidate->second.size());
-    if (!rank || (best != agents_.end() && *rank <= best_rank)) continue;
+    const auto value = rank_(candidate->first, candidate->second.size());
+    if (!value || !fits(candidate->first)) continue;
+    const std::pair rank(candidate->first != avoid, *value);
+    if (best != agents_.end() && rank <= best_rank) continue;
     best = candidate;
-    best_rank = *rank;
+    best_rank = rank;
   }
   if (best == agents_.end()) return std::nullopt;
   const held_grant result{best->first, best->second.front().grant};
--- a/src/libalmond/controllers/entry/grant_pool.h
+++ b/src/libalmond/controllers/entry/grant_pool.h
@@ -36,8 +36,11 @@
 
   /// @param lease time from the agent's sending
   void Add(link_id agent, grant_id grant, milliseconds lease);
+  /// @param fits tells agents that can run the task at hand
+  /// @param avoid agent that is used only if no other one is left
   /// @returns the grant to use next, or nothing
-  std::optional<held_grant> Take();
+  std::optional<held_grant> Take(const std::function<bool(link_id)>& fits,
+                                 std::optional<link_id> avoid);
   /// Takes unused grants to return them.
   /// @param agent the agent that asks
   /// @param count how many it asks for at most
--- a/src/libalmond/controllers/entry/job_controller.cc
+++ b/src/libalmond/controllers/entry/job_controller.cc
@@ -3,10 +3,8 @@
 #include <utility>
 
 namespace almond {
-namespace {
 
-// A job has run if any of its tasks did; it is "not run" only if all are.
-run_outcome Combine(run_outcome left, run_outcome right) {
+run_outcome CombineOutcomes(run_outcome left, run_outcome right) {
   if (left == run_outcome::ran || right == run_outcome::ran) {
     return run_outcome::ran;
   }
@@ -16,20 +14,27 @@
   return run_outcome::not_run;
 }
 
-}  // namespace
-
-void job_controller::Submit(std::vector<task> tasks, answer_hook on_answer) {
-  job& started = jobs_[tasks.front().name.submission];
+bool job_controller::Submit(std::vector<task> tasks, answer_hook on_answer,
+                            const agent_id& avoid) {
+  const auto [position, inserted] =
+      jobs_.try_emplace(tasks.front().name.submission);
+  if (!inserted) return false;
+  job& started = position->second;
+  started.service = tasks.front().service;
   started.results.resize(tasks.size());
   started.open = tasks.size();
   started.on_answer = std::move(on_answer);
-  for (task& work : tasks) dispatch_.Submit(std::move(work));
+  dispatch_.SubmitAll(std::move(tasks), avoid);
+  return true;
 }
 
 bool job_controller::Cancel(const uuid& submission) {
   const auto found = jobs_.find(submission);
   if (found == jobs_.end()) return false;
+  if (found->second.failing) return true;
   found->second.failing = true;
+  found->second.cause =
+      refusal{refusal_reason::cancelled, run_outcome::not_run, ""};
   CancelRest(submission, found->second);
   return true;
 }
@@ -43,15 +48,20 @@
   if (result) return;
   result = end.result;
   --running.open;
-  const bool first_failure =
-      !running.failing && std::holds_alternative<refusal>(end.result);
+  const auto* failure = std::get_if<refusal>(&end.result);
+  const bool first_failure = !running.failing && failure != nullptr;
+  if (first_failure) {
+    running.failing = true;
+    running.cause = *failure;
+    running.failed_at = end.agent;
+  }
   if (running.open == 0) {
     // The hook may submit again, so the job is removed first.
-    const job ended = std::move(running);
+    job ended = std::move(running);
     jobs_.erase(found);
-    ended.on_answer(Answer(ended));
+    const answer_hook on_answer = std::move(ended.on_answer);
+    on_answer(Answer(std::move(ended)));
   } else if (first_failure) {
-    running.failing = true;
     CancelRest(submission, running);
   }
 }
@@ -62,33 +72,30 @@
     if (!failed.results[index]) names.push_back({submission, index});
   }
   // Ends of queued tasks come back into OnTaskEnd and may remove the job.
-  dispatch_.Cancel(names);
+  const service_id service = failed.service;
+  dispatch_.Cancel(service, names);
 }
 
-job_answer job_controller::Answer(const job& ended) {
+job_answer job_controller::Answer(job ended) {
   job_complete complete;
   job_failed failed;
-  bool any_ran = false;
+  run_outcome outcome = run_outcome::not_run;
   for (std::uint32_t index = 0; index < ended.results.size(); ++index) {
-    const task_result& result = *ended.results[index];
-    if (const auto* success = std::get_if<task_success>(&result)) {
-      complete.bodies.push_back(success->body);
-      any_ran = true;
+    task_result& result = *ended.results[index];
+    if (auto* success = std::get_if<task_success>(&result)) {
+      complete.bodies.push_back(std::move(success->body));
+      outcome = run_outcome::ran;
       continue;
     }
-    failed.tasks.emplace_back(index, std::get<refusal>(result));
+    const auto& failure = std::get<refusal>(result);
+    outcome = CombineOutcomes(outcome, failure.outcome);
+    failed.tasks.emplace_back(index, failure);
   }
+  // A cancellation that came after all tasks were done changes nothing.
   if (failed.tasks.empty()) return complete;
-  // Cancelled tasks are a consequence; the cause is what failed by itself.
-  failed.cause = failed.tasks.front().second;
-  run_outcome outcome = any_ran ? run_outcome::ran : run_outcome::not_run;
-  for (const auto& [index, failure] : failed.tasks) {
-    outcome = Combine(outcome, failure.outcome);
-    if (failed.cause.reason == refusal_reason::cancelled) {
-      failed.cause = failure;
-    }
-  }
+  failed.cause = *ended.cause;
   failed.cause.outcome = outcome;
+  failed.agent = ended.failed_at;
   return failed;
 }
 
--- a/src/libalmond/controllers/entry/job_controller.h
+++ b/src/libalmond/controllers/entry/job_controller.h
@@ -25,11 +25,16 @@
   refusal cause;  ///< of the first task that failed
   /// Index and failure of each task that is known to have failed.
   std::vector<std::pair<std::uint32_t, refusal>> tasks;
+  agent_id agent;  ///< where the first failure happened; may be empty
 };
 
 /// The end of a job; never a partial answer.
 using job_answer = std::variant<job_complete, job_failed>;
 
+/// @returns what is known of two attempts or tasks together: "ran" if one of
+///   them ran, "not run" only if neither did
+run_outcome CombineOutcomes(run_outcome left, run_outcome right);
+
 /// Owner of the jobs that an entry runs: collects the tasks' results and
 /// answers once, complete or failed.
 class job_controller {
@@ -42,7 +47,10 @@
   /// Starts a job.
   /// @param tasks all of one submission, with the indexes 0 to n-1
   /// @param on_answer called once
-  void Submit(std::vector<task> tasks, answer_hook on_answer);
+  /// @param avoid agent to prefer others to; may be empty
+  /// @returns false if a job of that submission runs; nothing is then started
+  bool Submit(std::vector<task> tasks, answer_hook on_answer,
+              const agent_id& avoid = agent_id());
 
   /// Cancels a job; its answer says what is known of its tasks.
   /// @returns false if no such job runs here
@@ -58,14 +66,17 @@
 
  private:
   struct job {
+    service_id service;
     std::vector<std::optional<task_result>> results;
     std::size_t open = 0;
     bool failing = false;
+    std::optional<refusal> cause;
+    agent_id failed_at;
     answer_hook on_answer;
   };
 
   void CancelRest(const uuid& submission, const job& failed);
-  static job_answer Answer(const job& ended);
+  static job_answer Answer(job ended);
 
   dispatch_controller& dispatch_;
   std::unordered_map<uuid, job> jobs_;
--- a/src/libalmond/controllers/entry/task_queue.cc
+++ b/src/libalmond/controllers/entry/task_queue.cc
@@ -32,33 +32,49 @@
   return item;
 }
 
-std::optional<queued_task> task_queue::Pop() {
-  if (empty()) return std::nullopt;
+std::uint32_t task_queue::Weight(const team_id& team) const {
+  return std::max<std::uint32_t>(1, weight_(team));
+}
+
+std::optional<queued_task> task_queue::Pop(
+    const std::function<bool(const team_id&)>& may_run) {
   auto turn = teams_.lower_bound(turn_);
   // One visit gives each team its weight in tasks. A team without work loses
   // its credit, so that it cannot save up for a burst.
-  while (true) {
+  for (std::size_t visits = teams_.size(); visits > 0; --visits) {
     if (turn == teams_.end()) turn = teams_.begin();
     team_queue& queue = turn->second;
-    if (!queue.tasks.empty()) {
-      if (queue.credit == 0) {
-        queue.credit = std::max<std::uint32_t>(1, weight_(turn->first));
-      }
-      --queue.credit;
-      const auto next = std::next(turn);
-      queued_task item = Take(queue, queue.tasks.begin());
-      const bool stays = queue.credit > 0 && !queue.tasks.empty();
-      if (stays) {
-        turn_ = turn->first;
-      } else {
-        queue.credit = 0;
-        turn_ = next == teams_.end() ? team_id() : next->first;
-        if (queue.tasks.empty()) teams_.erase(turn);
-      }
+    if (queue.tasks.empty()) {
+      turn = teams_.erase(turn);
+      continue;
+    }
+    if (!may_run(turn->first)) {
+      ++turn;
+      continue;
+    }
+    if (queue.credit == 0) queue.credit = Weight(turn->first);
+    --queue.credit;
+    const auto next = std::next(turn);
+    queued_task item = Take(queue, queue.tasks.begin());
+    if (queue.credit > 0 && !queue.tasks.empty()) {
+      turn_ = turn->first;
       return item;
     }
-    turn = teams_.erase(turn);
+    queue.credit = 0;
+    turn_ = next == teams_.end() ? team_id() : next->first;
+    if (queue.tasks.empty()) teams_.erase(turn);
+    return item;
+  }
+  return std::nullopt;
+}
+
+double task_queue::TeamShare(const team_id& team) const {
+  const double own = Weight(team);
+  double total = own;
+  for (const auto& [other, queue] : teams_) {
+    if (other != team && !queue.tasks.empty()) total += Weight(other);
   }
+  return own / total;
 }
 
 std::optional<queued_task> task_queue::Remove(const task_name& name) {
--- a/src/libalmond/controllers/entry/task_queue.h
+++ b/src/libalmond/controllers/entry/task_queue.h
@@ -20,6 +20,8 @@
   task work;
   steady_time queued;
   std::uint32_t attempts = 0;  ///< starts of it that proved not to have run
+  /// Agent of the last attempt; another one is preferred.
+  agent_id avoid;
 };
 
 /// The queue of one service at one entry: first in, first out within a team,
@@ -35,8 +37,10 @@
   void Push(queued_task item);
   /// Puts a task that was not started back to the head of its team's queue.
   void PushFront(queued_task item);
-  /// @returns the task that goes next, or nothing if the queue is empty
-  std::optional<queued_task> Pop();
+  /// @param may_run tells teams that may start a task from those at their limit
+  /// @returns the task that goes next, or nothing if no team has one
+  std::optional<queued_task> Pop(
+      const std::function<bool(const team_id&)>& may_run);
   /// Removes a task wherever it stands.
   std::optional<queued_task> Remove(const task_name& name);
   /// Removes the tasks whose deadline has passed.
@@ -47,6 +51,8 @@
   bool empty() const { return index_.empty(); }
   /// @returns number of queued tasks of a team
   std::size_t TeamSize(const team_id& team) const;
+  /// @returns the team's share of the weights of all teams with queued work
+  double TeamShare(const team_id& team) const;
   /// @returns the time at which the oldest task was queued
   std::optional<steady_time> Oldest() const;
 
@@ -63,6 +69,7 @@
 
   void Index(const team_id& team, task_list::iterator position);
   queued_task Take(team_queue& queue, task_list::iterator position);
+  std::uint32_t Weight(const team_id& team) const;
 
   weight_hook weight_;
   std::map<team_id, team_queue> teams_;
--- a/src/libalmond/processes/entry_process.cc
+++ b/src/libalmond/processes/entry_process.cc
@@ -31,7 +31,10 @@
                    const auto found = config_->teams.find(team);
                    return found == config_->teams.end() ? 1
                                                         : found->second.weight;
-                 }}),
+                 },
+                 {},
+                 {},
+                 {}}),
       jobs_(dispatch_),
       filters_(
           MakeEntryFilters({clock, [this] { return draining_; },
