--- /dev/null
+++ b/src/entryd/main.cc
@@ -0,0 +1,121 @@
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "libalmond/core/logging.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/processes/entry_process.h"
+
+DEFINE_string(id, "entry-1", "Name of this entry, unique among the entries");
+DEFINE_string(data_centre, "",
+              "Data centre of this entry, as in the configuration");
+DEFINE_string(listen_http, "127.0.0.1:8080",
+              "IP:PORT for callers; port 0 takes a free one");
+DEFINE_string(listen_peer, "127.0.0.1:7080",
+              "IP:PORT for agents; port 0 takes a free one");
+DEFINE_string(control, "",
+              "IP:PORT list of the control processes, separated by commas");
+DEFINE_int32(drain_delay, 1000,
+             "Milliseconds from the failing health check to the closing of "
+             "the listener, 0 to 60000");
+DEFINE_int32(drain_timeout, 60000,
+             "Milliseconds for requests in progress after the listener has "
+             "closed, 0 to 3600000");
+
+namespace almond {
+namespace {
+
+constexpr int kMaxDrainDelay = 60'000;
+constexpr int kMaxDrainTimeout = 3'600'000;
+
+void CheckRange(const char* flag, int value, int highest, std::string& error) {
+  if (value >= 0 && value <= highest) return;
+  error = std::string("--") + flag + " is a number of milliseconds from 0 to " +
+          std::to_string(highest);
+}
+
+/// @returns the settings, or nothing with the first fault in `error`
+std::optional<entry_settings> ReadSettings(std::string& error) {
+  entry_settings settings;
+  settings.id = entry_id(FLAGS_id);
+  settings.data_centre = data_centre_id(FLAGS_data_centre);
+  const auto http = socket_address::Parse(FLAGS_listen_http);
+  const auto peer = socket_address::Parse(FLAGS_listen_peer);
+  if (FLAGS_id.empty()) error = "--id is empty";
+  if (!http) error = "--listen_http is not IP:PORT: " + FLAGS_listen_http;
+  if (!peer) error = "--listen_peer is not IP:PORT: " + FLAGS_listen_peer;
+  if (!socket_address::ParseList(FLAGS_control)) {
+    error = "--control is not a list of IP:PORT: " + FLAGS_control;
+  }
+  CheckRange("drain_delay", FLAGS_drain_delay, kMaxDrainDelay, error);
+  CheckRange("drain_timeout", FLAGS_drain_timeout, kMaxDrainTimeout, error);
+  if (!error.empty()) return std::nullopt;
+  settings.listen_http = *http;
+  settings.listen_peer = *peer;
+  settings.drain_delay = milliseconds(FLAGS_drain_delay);
+  settings.drain_timeout = milliseconds(FLAGS_drain_timeout);
+  return settings;
+}
+
+/// Runs until a signal ends the process.
+/// @returns the exit code
+int RunEntry(const entry_settings& settings) {
+  ConfigureLogging("almond-entryd");
+  event_loop loop;
+  system_clock clock;
+  entry_process entry(loop, clock, settings);
+  if (!entry.Start()) {
+    LOG(ERROR) << "cannot listen on " << settings.listen_http.ToString()
+               << " or " << settings.listen_peer.ToString();
+    return EXIT_FAILURE;
+  }
+  LOG(INFO) << "entry " << settings.id << " serves callers on "
+            << entry.HttpAddress().ToString() << " and agents on "
+            << entry.PeerAddress().ToString();
+  int code = EXIT_SUCCESS;
+  const auto abandon = [&](std::size_t requests) {
+    if (requests > 0) {
+      LOG(WARNING) << "abandoning " << requests << " requests in progress";
+      code = EXIT_FAILURE;
+    }
+    loop.Stop();
+  };
+  const auto on_signal = [&] {
+    if (!entry.Draining()) {
+      entry.Drain(abandon);
+      return;
+    }
+    LOG(WARNING) << "second signal, abandoning " << entry.Pending()
+                 << " requests in progress";
+    code = EXIT_FAILURE;
+    loop.Stop();
+  };
+  const auto term = loop.OnSignal(SIGTERM, on_signal);
+  const auto interrupt = loop.OnSignal(SIGINT, on_signal);
+  loop.Run();
+  return code;
+}
+
+}  // namespace
+}  // namespace almond
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "entry of almondproxy: accepts requests and dispatches their tasks");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (argc > 1) {
+    std::cerr << "almond-entryd: unexpected argument " << argv[1] << "\n";
+    return EXIT_FAILURE;
+  }
+  std::string error;
+  const auto settings = almond::ReadSettings(error);
+  if (!settings) {
+    std::cerr << "almond-entryd: " << error << "\n";
+    return EXIT_FAILURE;
+  }
+  return almond::RunEntry(*settings);
+}
--- a/src/libalmond/controllers/entry/dispatch_controller.cc
+++ b/src/libalmond/controllers/entry/dispatch_controller.cc
@@ -45,11 +45,12 @@
     }
     return kProbe;
   }
-  if (running >= agent.health.AllowedTasks(agent.announced.slots)) {
-    // Slots that the agent has granted beyond its announcement are usable only
-    // for an endpoint without failures.
-    if (success < 1) return std::nullopt;
-  }
+  const double usual = services_.at(agent.announced.service)->usual_success;
+  // The agent counts its slots itself; the limit here is for endpoints that
+  // fail more than others do.
+  const std::uint32_t slots = agent.announced.slots;
+  const std::uint32_t allowed = agent.health.AllowedTasks(slots, usual);
+  if (allowed < slots && running >= allowed) return std::nullopt;
   const bool own = !hooks_.data_centre.Empty() && success >= kHealthy &&
                    agent.announced.data_centre == hooks_.data_centre;
   return (own ? kOwnDataCentre : 0) + static_cast<double>(held) * success;
--- a/src/libalmond/controllers/entry/dispatch_controller.h
+++ b/src/libalmond/controllers/entry/dispatch_controller.h
@@ -118,6 +118,7 @@
     grant_pool grants;
     service_rate rate;
     std::set<agent_id> agents;
+    double usual_success = 1;  ///< mean of the agents that are not ejected
     std::optional<steady_time> refused;  ///< last refusal for lack of slots
   };
   struct pending_query {
@@ -147,6 +148,7 @@
   void EndFlight(const task_name& name, task_result result,
                  std::optional<duration> run_time);
   void RecordHealth(const agent_id& agent, bool success);
+  void UpdateUsualSuccess(const service_id& service);
   bool MayEject(const agent_record& agent) const;
   void ReturnGrants(link_id link, std::uint32_t count);
 
--- a/src/libalmond/controllers/entry/dispatch_messages.cc
+++ b/src/libalmond/controllers/entry/dispatch_messages.cc
@@ -197,16 +197,30 @@
   if (found == agents_.end()) return;
   agent_record& agent = found->second;
   const steady_time now = clock_.SteadyNow();
-  if (agent.health.Record(success, now)) {
-    metrics_.readmissions.Add();
-    return;
-  }
+  const bool readmitted = agent.health.Record(success, now);
+  UpdateUsualSuccess(agent.announced.service);
+  if (readmitted) metrics_.readmissions.Add();
   if (!agent.health.Suspect() || !MayEject(agent)) return;
   agent.health.Eject(now);
   metrics_.ejections.Add();
   if (agent.link) ReturnGrants(*agent.link, UINT32_MAX);
 }
 
+void dispatch_controller::UpdateUsualSuccess(const service_id& service) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return;
+  double total = 0;
+  std::size_t count = 0;
+  for (const agent_id& id : found->second->agents) {
+    const agent_record& agent = agents_.at(id);
+    if (!agent.Usable() || agent.health.Ejected()) continue;
+    total += agent.health.Success();
+    ++count;
+  }
+  found->second->usual_success =
+      count == 0 ? 1 : total / static_cast<double>(count);
+}
+
 bool dispatch_controller::MayEject(const agent_record& agent) const {
   const auto service = services_.find(agent.announced.service);
   if (service == services_.end()) return false;
--- a/src/libalmond/controllers/entry/endpoint_health.cc
+++ b/src/libalmond/controllers/entry/endpoint_health.cc
@@ -28,11 +28,13 @@
   probe_ = now + backoff_;
 }
 
-std::uint32_t endpoint_health::AllowedTasks(std::uint32_t slots) const {
+std::uint32_t endpoint_health::AllowedTasks(std::uint32_t slots,
+                                            double usual) const {
   // Above this rate single failures are ordinary and cost no slots.
   constexpr double kHealthy = 0.9;
-  if (success_ >= kHealthy) return std::max<std::uint32_t>(slots, 1);
-  const double allowed = std::floor(static_cast<double>(slots) * success_);
+  const double relative = success_ / std::max(usual, 1e-3);
+  if (relative >= kHealthy) return std::max<std::uint32_t>(slots, 1);
+  const double allowed = std::floor(static_cast<double>(slots) * relative);
   return std::max<std::uint32_t>(static_cast<std::uint32_t>(allowed), 1);
 }
 
--- a/src/libalmond/controllers/entry/endpoint_health.h
+++ b/src/libalmond/controllers/entry/endpoint_health.h
@@ -38,8 +38,10 @@
   /// @returns true if an ejected endpoint may get one task
   bool ProbeDue(steady_time now) const { return ejected_ && now >= probe_; }
   /// @param slots slots of the endpoint
+  /// @param usual success rate of the service's endpoints; work that fails
+  ///   everywhere takes no slots from any of them
   /// @returns number of tasks that it may run at once, at least 1
-  std::uint32_t AllowedTasks(std::uint32_t slots) const;
+  std::uint32_t AllowedTasks(std::uint32_t slots, double usual) const;
 
  private:
   double success_ = 1;
--- /dev/null
+++ b/src/libalmond/controllers/entry/submission_controller.cc
@@ -0,0 +1,331 @@
+#include "libalmond/controllers/entry/submission_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libalmond/core/digest.h"
+
+namespace almond {
+namespace {
+
+job_answer Failure(refusal_reason reason, run_outcome outcome) {
+  job_failed failed;
+  failed.cause = {reason, outcome, ""};
+  return failed;
+}
+
+}  // namespace
+
+std::string SubmissionDigest(const std::vector<task>& tasks) {
+  std::string bodies;
+  for (const task& work : tasks) {
+    bodies += Sha256({work.body, std::to_string(work.size.run_time.count()),
+                      std::to_string(work.size.cpu_milli),
+                      std::to_string(work.size.memory_mib)});
+  }
+  const task& first = tasks.front();
+  return Sha256(
+      {first.service.Value(), first.kind.Value(), first.team.Value(), bodies});
+}
+
+submission_controller::submission_controller(const clock_interface& clock,
+                                             dispatch_controller& dispatch,
+                                             job_controller& jobs,
+                                             entry_id self,
+                                             incarnation_id incarnation)
+    : clock_(clock),
+      dispatch_(dispatch),
+      jobs_(jobs),
+      self_(std::move(self)),
+      incarnation_(incarnation),
+      ended_(clock) {}
+
+submission_controller::active_submission* submission_controller::Get(
+    const uuid& id, std::uint64_t attempt) {
+  const auto found = active_.find(id);
+  if (found == active_.end() || found->second.attempt != attempt) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void submission_controller::Submit(named_submission submitted,
+                                   answer_hook on_answer) {
+  const uuid id = submitted.tasks.front().name.submission;
+  const auto active = active_.find(id);
+  const ended_jobs::entry* ended = ended_.Find(id);
+  const std::string* digest = nullptr;
+  if (ended != nullptr) digest = &ended->digest;
+  if (active != active_.end()) digest = &active->second.digest;
+  // A submission taken over has no digest here; the ledger compares it.
+  if (digest != nullptr && !digest->empty() && *digest != submitted.digest) {
+    on_answer(
+        Failure(refusal_reason::submission_conflict, run_outcome::not_run));
+    return;
+  }
+  if (active != active_.end()) {
+    active->second.waiters.push_back(
+        {submitted.deadline, std::move(on_answer)});
+    return;
+  }
+  if (ended != nullptr) {
+    on_answer(ended->answer);
+    return;
+  }
+  active_submission& added = active_[id];
+  added.attempt = ++last_attempt_;
+  added.digest = std::move(submitted.digest);
+  added.tasks = std::move(submitted.tasks);
+  added.service = added.tasks.front().service;
+  added.task_count = static_cast<std::uint32_t>(added.tasks.size());
+  added.deadline = submitted.deadline;
+  added.waiters.push_back({submitted.deadline, std::move(on_answer)});
+  Claim(id, added);
+}
+
+void submission_controller::Claim(const uuid& id, active_submission& claimed) {
+  if (!ledger_.claim) {
+    Refuse(id, refusal_reason::ledger_unavailable, run_outcome::not_run);
+    return;
+  }
+  const steady_time now = clock_.SteadyNow();
+  claimed.first_claim = given_up_.emplace(id, false).second;
+  if (claimed.first_claim) claim_order_.emplace_back(now, id);
+  claimed.next_poll = std::min(now + kClaimTimeout, claimed.deadline);
+  ledger_claim_message message;
+  message.submission = id;
+  message.digest = claimed.digest;
+  message.service = claimed.service;
+  message.task_count = claimed.task_count;
+  message.owner = self_;
+  message.owner_incarnation = incarnation_;
+  message.deadline =
+      clock_.WallNow() +
+      std::chrono::duration_cast<wall_time::duration>(claimed.deadline - now);
+  ledger_.claim(message,
+                [this, id, attempt = claimed.attempt](
+                    const std::optional<ledger_claim_reply_message>& reply) {
+                  OnClaim(id, attempt, reply);
+                });
+}
+
+void submission_controller::OnClaim(
+    const uuid& id, std::uint64_t attempt,
+    const std::optional<ledger_claim_reply_message>& reply) {
+  active_submission* claimed = Get(id, attempt);
+  if (claimed == nullptr || claimed->state != phase::claiming) {
+    OnLateClaim(id, reply);
+    return;
+  }
+  if (!reply) {
+    Refuse(id, refusal_reason::ledger_unavailable, run_outcome::not_run);
+    return;
+  }
+  switch (reply->outcome) {
+    case claim_outcome::accepted:
+      Run(id, *claimed, reply->record.epoch);
+      return;
+    case claim_outcome::exists:
+      OnExists(id, *claimed, reply->record);
+      return;
+    case claim_outcome::conflict:
+      Refuse(id, refusal_reason::submission_conflict, run_outcome::not_run);
+      return;
+    case claim_outcome::expired:
+      Refuse(id, refusal_reason::submission_expired, run_outcome::unknown);
+      return;
+    case claim_outcome::too_new:
+      Refuse(id, refusal_reason::bad_submission_id, run_outcome::not_run);
+      return;
+  }
+}
+
+void submission_controller::OnLateClaim(
+    const uuid& id, const std::optional<ledger_claim_reply_message>& reply) {
+  // The caller has been told "not-run", so the accepted record must end
+  // without a start.
+  if (!reply || reply->outcome != claim_outcome::accepted) return;
+  if (active_.count(id) > 0 || ended_.Find(id) != nullptr) return;
+  Finish(id, reply->record.epoch,
+         Failure(refusal_reason::ledger_unavailable, run_outcome::not_run));
+}
+
+void submission_controller::OnExists(const uuid& id, active_submission& claimed,
+                                     const ledger_record& record) {
+  const bool own = record.state == ledger_state::running &&
+                   record.owner == self_ &&
+                   record.owner_incarnation == incarnation_;
+  if (!own) {
+    Follow(id, claimed, record);
+  } else if (claimed.first_claim) {
+    // The reply to the first sending of this claim was lost on the way.
+    Run(id, claimed, record.epoch);
+  } else if (given_up_.at(id)) {
+    // The caller of the earlier claim has been told "not-run", so this record
+    // ends without a start.
+    const job_answer refused =
+        Failure(refusal_reason::ledger_unavailable, run_outcome::not_run);
+    Finish(id, record.epoch, refused);
+    End(id, refused);
+  } else {
+    // It ended here and the ledger has not heard of it yet.
+    Follow(id, claimed, record);
+  }
+}
+
+void submission_controller::Run(const uuid& id, active_submission& claimed,
+                                owner_epoch epoch) {
+  if (claimed.deadline <= clock_.SteadyNow()) {
+    const job_answer late =
+        Failure(refusal_reason::deadline_in_queue, run_outcome::not_run);
+    Finish(id, epoch, late);
+    End(id, late);
+    return;
+  }
+  claimed.state = phase::running;
+  given_up_[id] = false;
+  claimed.epoch = epoch;
+  for (task& work : claimed.tasks) work.epoch = epoch;
+  jobs_.Submit(std::exchange(claimed.tasks, {}),
+               [this, id, epoch](const job_answer& answer) {
+                 End(id, answer);
+                 Finish(id, epoch, answer);
+               });
+}
+
+void submission_controller::Find(
+    const uuid& id,
+    std::function<void(const std::optional<job_answer>&)> on_answer) {
+  if (const auto* ended = ended_.Find(id)) {
+    on_answer(ended->answer);
+    return;
+  }
+  const job_answer absent =
+      Failure(refusal_reason::unknown_job, run_outcome::unknown);
+  if (active_.count(id) > 0) {
+    on_answer(std::nullopt);
+  } else if (!ledger_.read) {
+    on_answer(absent);
+  } else {
+    ledger_.read(
+        id, [on_answer = std::move(on_answer),
+             absent](const std::optional<ledger_read_reply_message>& reply) {
+          if (!reply) {
+            on_answer(Failure(refusal_reason::ledger_unavailable,
+                              run_outcome::not_run));
+          } else if (!reply->record) {
+            on_answer(absent);
+          } else if (reply->record->state == ledger_state::failed) {
+            job_failed failed;
+            failed.cause = reply->record->failure;
+            on_answer(failed);
+          } else {
+            on_answer(std::nullopt);
+          }
+        });
+  }
+}
+
+void submission_controller::Refuse(const uuid& id, refusal_reason reason,
+                                   run_outcome outcome) {
+  const auto found = active_.find(id);
+  const std::vector<waiter> waiters = std::move(found->second.waiters);
+  const auto claim = given_up_.find(id);
+  if (claim != given_up_.end() && found->second.state == phase::claiming) {
+    claim->second = true;
+  }
+  active_.erase(found);
+  const job_answer answer = Failure(reason, outcome);
+  for (const waiter& caller : waiters) caller.on_answer(answer);
+}
+
+void submission_controller::End(const uuid& id, const job_answer& answer) {
+  const auto found = active_.find(id);
+  if (found == active_.end()) return;
+  const std::vector<waiter> waiters = std::move(found->second.waiters);
+  const std::string digest = found->second.digest;
+  active_.erase(found);
+  ended_.Add(id, digest, answer);
+  for (const waiter& caller : waiters) caller.on_answer(answer);
+}
+
+void submission_controller::Finish(const uuid& id, owner_epoch epoch,
+                                   const job_answer& answer) {
+  ledger_finish_message message;
+  message.submission = id;
+  message.epoch = epoch;
+  message.state = ledger_state::complete;
+  if (const auto* failed = std::get_if<job_failed>(&answer)) {
+    message.state = ledger_state::failed;
+    message.failure = failed->cause;
+  }
+  if (ledger_.finish) ledger_.finish(message);
+}
+
+void submission_controller::Tick() {
+  std::vector<uuid> ids;
+  ids.reserve(active_.size());
+  for (const auto& [id, waiting] : active_) {
+    if (waiting.state != phase::running || waiting.waiters.size() > 1) {
+      ids.push_back(id);
+    }
+  }
+  for (const uuid& id : ids) TickOne(id);
+  ended_.Expire();
+  ForgetOldClaims();
+}
+
+void submission_controller::TickOne(const uuid& id) {
+  const auto found = active_.find(id);
+  if (found == active_.end()) return;
+  active_submission& waiting = found->second;
+  const steady_time now = clock_.SteadyNow();
+  if (waiting.state == phase::claiming) {
+    if (waiting.next_poll > now) return;
+    Refuse(id, refusal_reason::ledger_unavailable, run_outcome::not_run);
+    return;
+  }
+  const std::uint64_t attempt = waiting.attempt;
+  EndWaiters(waiting, now);
+  active_submission* polled = Get(id, attempt);
+  if (polled == nullptr || polled->state == phase::running) return;
+  if (polled->waiters.empty() && polled->state != phase::ending) {
+    active_.erase(id);
+    return;
+  }
+  if (polled->asked || polled->next_poll > now) return;
+  if (polled->state == phase::elsewhere) {
+    Poll(id, *polled);
+  } else {
+    Collect(id, *polled);
+  }
+}
+
+void submission_controller::EndWaiters(active_submission& waited,
+                                       steady_time now) {
+  // The owner of a running job answers at its own deadline, a little later
+  // than the callers' to let the agents tell the outcome.
+  const steady_time limit = now - dispatch_controller::kCancelGrace -
+                            dispatch_controller::kCancelGrace;
+  std::vector<waiter> late;
+  std::erase_if(waited.waiters, [&](waiter& caller) {
+    if (caller.deadline > limit) return false;
+    late.push_back(std::move(caller));
+    return true;
+  });
+  for (const waiter& caller : late) {
+    caller.on_answer(
+        Failure(refusal_reason::deadline_running, run_outcome::unknown));
+  }
+}
+
+void submission_controller::ForgetOldClaims() {
+  const steady_time now = clock_.SteadyNow();
+  while (!claim_order_.empty() &&
+         claim_order_.front().first + kRemember <= now) {
+    given_up_.erase(claim_order_.front().second);
+    claim_order_.pop_front();
+  }
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/entry/submission_controller.h
@@ -0,0 +1,158 @@
+#ifndef ALMOND_CONTROLLERS_ENTRY_SUBMISSION_CONTROLLER_H_
+#define ALMOND_CONTROLLERS_ENTRY_SUBMISSION_CONTROLLER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "libalmond/controllers/entry/answer_collector.h"
+#include "libalmond/controllers/entry/ended_jobs.h"
+#include "libalmond/controllers/entry/job_controller.h"
+#include "libalmond/core/control_messages.h"
+
+namespace almond {
+
+/// Access to the job ledger. Each hook answers once; with nothing if the
+/// ledger did not answer in the hook's own time.
+struct ledger_hooks {
+  using claim_reply =
+      std::function<void(const std::optional<ledger_claim_reply_message>&)>;
+  using read_reply =
+      std::function<void(const std::optional<ledger_read_reply_message>&)>;
+  std::function<void(const ledger_claim_message&, claim_reply)> claim;
+  /// Resent by the other side until it is stored or outdated.
+  std::function<void(const ledger_finish_message&)> finish;
+  std::function<void(const uuid&, read_reply)> read;
+};
+
+/// A submission with a caller's id.
+struct named_submission {
+  std::vector<task> tasks;
+  std::string digest;
+  steady_time deadline;
+};
+
+/// @param tasks of one submission
+/// @returns digest of service, kind, team, bodies and sizes
+std::string SubmissionDigest(const std::vector<task>& tasks);
+
+/// Owner of the named submissions that callers wait for at this entry: claims
+/// them in the ledger before anything starts, joins callers of the same
+/// submission, finds the answers of submissions that ended elsewhere, and ends
+/// those of dead owners.
+class submission_controller {
+ public:
+  using answer_hook = job_controller::answer_hook;
+  /// Longest wait for the ledger's answer to a claim.
+  static constexpr milliseconds kClaimTimeout{2000};
+  static constexpr milliseconds kFirstPoll{200};
+  static constexpr milliseconds kLongestPoll{2000};
+  /// Time after a collection without all answers, for agents that reconnect.
+  static constexpr milliseconds kCollectLimit{2000};
+  /// Time for which claimed ids are remembered; longer than the ledger's
+  /// window, so that no id is forgotten while it can be claimed.
+  static constexpr std::chrono::minutes kRemember{12};
+
+  submission_controller(const clock_interface& clock,
+                        dispatch_controller& dispatch, job_controller& jobs,
+                        entry_id self, incarnation_id incarnation);
+
+  /// Without hooks every named submission is refused `ledger-unavailable`.
+  void SetLedger(ledger_hooks ledger) { ledger_ = std::move(ledger); }
+
+  /// @param on_answer called once
+  void Submit(named_submission submitted, answer_hook on_answer);
+  /// Ends a submission whose owner died. Nothing is started for it.
+  void TakeOver(const ledger_record& record);
+  /// @returns false if the submission does not run at this entry
+  bool Cancel(const uuid& submission) { return jobs_.Cancel(submission); }
+
+  /// Finds the state of a submission.
+  /// @param on_answer called once with the answer, or with nothing while the
+  ///   submission runs; `unknown-job` if there is none
+  void Find(const uuid& id,
+            std::function<void(const std::optional<job_answer>&)> on_answer);
+
+  /// @returns true if a resubmission needs no new work at this entry
+  bool Knows(const uuid& id) const {
+    return active_.count(id) > 0 || ended_.Find(id) != nullptr;
+  }
+
+  /// Polls and ends waits; to be called some times a second.
+  void Tick();
+  std::size_t size() const { return active_.size(); }
+
+ private:
+  enum class phase : std::uint8_t {
+    claiming,    ///< the ledger has been asked
+    running,     ///< the tasks run at this entry
+    elsewhere,   ///< another entry runs it; the ledger is polled
+    collecting,  ///< it is complete; agents are asked for the answers
+    ending       ///< taken over from a dead owner
+  };
+  struct waiter {
+    steady_time deadline;
+    answer_hook on_answer;
+  };
+  struct active_submission {
+    std::uint64_t attempt = 0;  ///< binds callbacks to this record
+    phase state = phase::claiming;
+    bool first_claim = true;
+    std::string digest;
+    std::vector<task> tasks;
+    std::vector<waiter> waiters;
+    service_id service;
+    std::uint32_t task_count = 0;
+    owner_epoch epoch;
+    wall_time accepted;
+    steady_time deadline;
+    steady_time next_poll;
+    steady_time settled_by;  ///< answers that are missing then are lost
+    milliseconds poll{kFirstPoll};
+    bool asked = false;  ///< a poll is under way
+    std::shared_ptr<answer_collector> collector;
+  };
+
+  active_submission* Get(const uuid& id, std::uint64_t attempt);
+  void Claim(const uuid& id, active_submission& claimed);
+  void OnClaim(const uuid& id, std::uint64_t attempt,
+               const std::optional<ledger_claim_reply_message>& reply);
+  void OnLateClaim(const uuid& id,
+                   const std::optional<ledger_claim_reply_message>& reply);
+  void OnExists(const uuid& id, active_submission& claimed,
+                const ledger_record& record);
+  void Run(const uuid& id, active_submission& claimed, owner_epoch epoch);
+  void Follow(const uuid& id, active_submission& followed,
+              const ledger_record& record);
+  void Poll(const uuid& id, active_submission& polled);
+  void Collect(const uuid& id, active_submission& collected);
+  void OnCollected(const uuid& id, active_submission& collected);
+  void OnEndingCollected(const uuid& id, active_submission& ending);
+  void Refuse(const uuid& id, refusal_reason reason, run_outcome outcome);
+  void End(const uuid& id, const job_answer& answer);
+  void Finish(const uuid& id, owner_epoch epoch, const job_answer& answer);
+  void TickOne(const uuid& id);
+  void EndWaiters(active_submission& waited, steady_time now);
+  void ForgetOldClaims();
+
+  const clock_interface& clock_;
+  dispatch_controller& dispatch_;
+  job_controller& jobs_;
+  entry_id self_;
+  incarnation_id incarnation_;
+  ledger_hooks ledger_;
+  ended_jobs ended_;
+  std::unordered_map<uuid, active_submission> active_;
+  /// Ids that this entry has claimed before, and whether the last claim was
+  /// given up. A record that names this entry as owner may be run only on the
+  /// first claim.
+  std::unordered_map<uuid, bool> given_up_;
+  std::deque<std::pair<steady_time, uuid>> claim_order_;
+  std::uint64_t last_attempt_ = 0;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_CONTROLLERS_ENTRY_SUBMISSION_CONTROLLER_H_
--- a/src/libalmond/filters/entry_filters.cc
+++ b/src/libalmond/filters/entry_filters.cc
@@ -1,7 +1,11 @@
 #include "libalmond/filters/entry_filters.h"
 
+#include "libalmond/filters/capacity_filter.h"
 #include "libalmond/filters/deadline_filter.h"
 #include "libalmond/filters/draining_filter.h"
+#include "libalmond/filters/endpoint_filter.h"
+#include "libalmond/filters/overload_filter.h"
+#include "libalmond/filters/quota_filter.h"
 #include "libalmond/filters/rule_filter.h"
 #include "libalmond/filters/service_filter.h"
 #include "libalmond/filters/size_filter.h"
@@ -20,4 +24,13 @@
   });
 }
 
+filter_chain MakeAdmissionFilters(const entry_filter_inputs& inputs) {
+  return filter_chain({
+      MakeEndpointFilter(inputs.state),
+      MakeCapacityFilter(inputs.state),
+      MakeQuotaFilter(inputs.state, inputs.config),
+      MakeOverloadFilter(inputs.state, inputs.clock),
+  });
+}
+
 }  // namespace almond
--- a/src/libalmond/filters/entry_filters.h
+++ b/src/libalmond/filters/entry_filters.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "libalmond/filters/entry_state.h"
 #include "libalmond/filters/filter_chain.h"
 
 namespace almond {
@@ -12,11 +13,18 @@
   const clock_interface& clock;
   std::function<bool()> draining;
   std::function<const site_config*()> config;
+  entry_state state;
 };
 
-/// @returns the filter chain of an entry, in the order in which it decides
+/// Checks a request and completes it.
+/// @returns the first filter chain of an entry, in the order of decisions
 filter_chain MakeEntryFilters(const entry_filter_inputs& inputs);
 
+/// Decides whether there is room for a request. A resubmission of work that is
+/// known to the entry does not run these filters, as it starts nothing.
+/// @returns the second filter chain of an entry, in the order of decisions
+filter_chain MakeAdmissionFilters(const entry_filter_inputs& inputs);
+
 }  // namespace almond
 
 #endif  // ALMOND_FILTERS_ENTRY_FILTERS_H_
--- /dev/null
+++ b/src/libalmond/filters/quota_filter.cc
@@ -0,0 +1,20 @@
+#include "libalmond/filters/quota_filter.h"
+
+namespace almond {
+
+request_filter MakeQuotaFilter(entry_state state,
+                               std::function<const site_config*()> config) {
+  return [state = std::move(state), config = std::move(config)](
+             request_context& request) -> std::optional<refusal> {
+    const team_config& team = config()->teams.at(request.team);
+    const std::size_t queued = state.team_queued(request.team);
+    if (queued + request.tasks.size() <= team.max_queued_tasks) {
+      return std::nullopt;
+    }
+    return refusal{
+        refusal_reason::team_quota, run_outcome::not_run,
+        "at most " + std::to_string(team.max_queued_tasks) + " queued tasks"};
+  };
+}
+
+}  // namespace almond
--- a/src/libalmond/processes/entry_codec.cc
+++ b/src/libalmond/processes/entry_codec.cc
@@ -125,8 +125,31 @@
   }
 }
 
+/// Finds deep nesting before the parser builds a value for each level.
+bool TooDeep(const std::string& text) {
+  constexpr int kMaxDepth = 32;
+  int depth = 0;
+  bool quoted = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (quoted && c == '\\') {
+      ++i;
+    } else if (c == '"') {
+      quoted = !quoted;
+    } else if (!quoted && (c == '[' || c == '{')) {
+      if (++depth > kMaxDepth) return true;
+    } else if (!quoted && (c == ']' || c == '}')) {
+      --depth;
+    }
+  }
+  return false;
+}
+
 std::optional<refusal> ReadJob(const std::string& body,
                                request_context& context) {
+  if (TooDeep(body)) {
+    return NotRun(refusal_reason::bad_json, "the body is nested too deeply");
+  }
   const json object = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (object.is_discarded()) {
     if (!IsUtf8(body)) {
@@ -195,6 +218,31 @@
   return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/// Seconds after which a caller may try again.
+constexpr const char* kRetryAfter = "1";
+
+bool MayPassSoon(const refusal& refused) {
+  switch (refused.reason) {
+    case refusal_reason::team_quota:
+    case refusal_reason::overloaded:
+    case refusal_reason::no_endpoint:
+    case refusal_reason::draining:
+    case refusal_reason::ledger_unavailable:
+    case refusal_reason::no_configuration:
+    case refusal_reason::endpoint_refused:
+      return refused.outcome == run_outcome::not_run;
+    default:
+      return false;
+  }
+}
+
+void AddOutcomeHeaders(const refusal& refused, http_response& response) {
+  response.headers.emplace_back("Almond-Outcome", Name(refused.outcome));
+  if (MayPassSoon(refused)) {
+    response.headers.emplace_back("Retry-After", kRetryAfter);
+  }
+}
+
 json RefusalObject(const refusal& refused) {
   json object = {{"reason", Name(refused.reason)},
                  {"outcome", Name(refused.outcome)}};
@@ -233,9 +281,17 @@
   return context;
 }
 
-std::variant<uuid, refusal> ParseJobPath(const std::string& path) {
-  const std::string_view text = path;
-  const auto id = uuid::Parse(text.substr(kJobsPrefix.size()));
+bool IsJobPath(const std::string& path) {
+  return path.rfind(kJobsPrefix, 0) == 0;
+}
+
+std::variant<uuid, refusal> ParseJobRequest(const http_request& request) {
+  if (request.method != "GET" && request.method != "DELETE") {
+    return NotRun(refusal_reason::unknown_path,
+                  request.method + " " + request.path);
+  }
+  const auto id =
+      uuid::Parse(std::string_view(request.path).substr(kJobsPrefix.size()));
   if (id && id->IsV7()) return *id;
   return NotRun(refusal_reason::bad_submission_id,
                 "the path ends with a version 7 UUID");
@@ -248,7 +304,7 @@
 http_response RefusalResponse(const refusal& refused) {
   http_response response =
       JsonResponse(HttpStatus(refused.reason), RefusalObject(refused));
-  response.headers.emplace_back("Almond-Outcome", Name(refused.outcome));
+  AddOutcomeHeaders(refused, response);
   return response;
 }
 
@@ -280,7 +336,7 @@
   }
   http_response response =
       JsonResponse(HttpStatus(failed.cause.reason), object);
-  response.headers.emplace_back("Almond-Outcome", Name(failed.cause.outcome));
+  AddOutcomeHeaders(failed.cause, response);
   return response;
 }
 
--- a/src/libalmond/processes/entry_codec.h
+++ b/src/libalmond/processes/entry_codec.h
@@ -16,9 +16,12 @@
 std::variant<request_context, refusal> ParseSubmission(
     const http_request& request);
 
-/// @param path of the form /v1/jobs/{submission}
-/// @returns the submission, or the refusal of a malformed path or id
-std::variant<uuid, refusal> ParseJobPath(const std::string& path);
+/// @returns true if the path is one of a single job
+bool IsJobPath(const std::string& path);
+
+/// @param request GET or DELETE with a path of the form /v1/jobs/{submission}
+/// @returns the submission, or the refusal of another method or a malformed id
+std::variant<uuid, refusal> ParseJobRequest(const http_request& request);
 
 /// @returns the HTTP status of a refusal
 int HttpStatus(refusal_reason reason);
--- /dev/null
+++ b/src/libalmond/processes/entry_http.cc
@@ -0,0 +1,130 @@
+#include <utility>
+
+#include "libalmond/processes/entry_codec.h"
+#include "libalmond/processes/entry_process.h"
+
+namespace almond {
+
+void entry_process::OnHttp(const http_request& request,
+                           const http_server::responder& respond) {
+  const bool get = request.method == "GET";
+  if (get && request.path == "/metrics") {
+    respond({200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
+  } else if (get && request.path == "/healthz") {
+    respond(Health());
+  } else if (get && request.path == "/v1/config" && hooks_.config_report) {
+    respond(hooks_.config_report());
+  } else if (IsJobPath(request.path)) {
+    OnJobRequest(request, respond);
+  } else {
+    OnSubmission(request, respond);
+  }
+}
+
+http_response entry_process::Health() const {
+  if (draining_) return {503, {}, R"({"reason":"draining"})"};
+  if (!config_) return {503, {}, R"({"reason":"no-configuration"})"};
+  const std::string reason = hooks_.unhealthy ? hooks_.unhealthy() : "";
+  if (!reason.empty()) return {503, {}, R"({"reason":")" + reason + "\"}"};
+  return {200, {}, "{}"};
+}
+
+void entry_process::OnJobRequest(const http_request& request,
+                                 const http_server::responder& respond) {
+  const auto path = ParseJobRequest(request);
+  if (const auto* refused = std::get_if<refusal>(&path)) {
+    Refuse(*refused, respond);
+    return;
+  }
+  const uuid submission = std::get<uuid>(path);
+  if (request.method == "DELETE") submissions_.Cancel(submission);
+  submissions_.Find(
+      submission, [this, respond](const std::optional<job_answer>& answer) {
+        if (!answer) {
+          respond({202, {}, R"({"state":"running"})"});
+          return;
+        }
+        const auto* failed = std::get_if<job_failed>(&*answer);
+        const bool absent = failed != nullptr &&
+                            failed->cause.reason == refusal_reason::unknown_job;
+        if (absent) {
+          Refuse(failed->cause, respond);
+        } else {
+          respond(JobResponse(*answer));
+        }
+      });
+}
+
+void entry_process::Refuse(const refusal& refused,
+                           const http_server::responder& respond) {
+  metrics_.Refusals(refused.reason).Add();
+  respond(RefusalResponse(refused));
+}
+
+void entry_process::OnSubmission(const http_request& request,
+                                 const http_server::responder& respond) {
+  auto parsed = ParseSubmission(request);
+  if (const auto* refused = std::get_if<refusal>(&parsed)) {
+    Refuse(*refused, respond);
+    return;
+  }
+  auto& context = std::get<request_context>(parsed);
+  if (const auto refused = filters_.Run(context)) {
+    Refuse(*refused, respond);
+    return;
+  }
+  const bool known =
+      context.submission && submissions_.Knows(*context.submission);
+  if (!known) {
+    if (const auto refused = admission_.Run(context)) {
+      Refuse(*refused, respond);
+      return;
+    }
+  }
+  Submit(context, respond);
+}
+
+void entry_process::Submit(request_context& context,
+                           const http_server::responder& respond) {
+  auto on_answer = [this, respond,
+                    is_job = context.is_job](const job_answer& answer) {
+    if (const auto* failed = std::get_if<job_failed>(&answer)) {
+      metrics_.Refusals(failed->cause.reason).Add();
+    }
+    respond(is_job ? JobResponse(answer) : RequestResponse(answer));
+  };
+  std::vector<task> tasks = MakeTasks(context);
+  if (!context.submission) {
+    // Jobs are not repeated, even with a single task.
+    requests_.Submit(std::move(tasks), context.idempotent && !context.is_job,
+                     std::move(on_answer));
+    return;
+  }
+  named_submission named;
+  named.digest = SubmissionDigest(tasks);
+  named.tasks = std::move(tasks);
+  named.deadline = context.deadline;
+  submissions_.Submit(std::move(named), std::move(on_answer));
+}
+
+std::vector<task> entry_process::MakeTasks(request_context& context) {
+  const uuid submission =
+      context.submission.value_or(uuid::MakeV7(clock_.WallNow(), random_));
+  std::vector<task> tasks;
+  tasks.reserve(context.tasks.size());
+  for (task_request& request : context.tasks) {
+    task work;
+    work.name = {submission, static_cast<std::uint32_t>(tasks.size())};
+    work.service = context.service;
+    work.team = context.team;
+    work.kind = context.kind;
+    work.body = std::move(request.body);
+    work.size = request.size;
+    work.deadline = context.deadline;
+    work.named_submission = context.submission.has_value();
+    tasks.push_back(std::move(work));
+  }
+  return tasks;
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/entry_links.cc
@@ -0,0 +1,64 @@
+#include "libalmond/processes/entry_links.h"
+
+#include <utility>
+
+#include "libalmond/core/logging.h"
+#include "libalmond/wire/dispatch_codec.h"
+
+namespace almond {
+
+entry_links::entry_links(event_loop& loop, const clock_interface& clock,
+                         metrics_registry& metrics, hooks callbacks)
+    : loop_(loop),
+      metrics_(metrics),
+      hooks_(std::move(callbacks)),
+      listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
+        OnAccept(link);
+      }) {}
+
+void entry_links::Send(link_id link, const entry_message& message) {
+  const auto found = links_.find(link);
+  if (found != links_.end()) found->second->Send(EncodeEntryMessage(message));
+}
+
+void entry_links::SendToAll(const entry_message& message) {
+  const frame encoded = EncodeEntryMessage(message);
+  for (const auto& [id, link] : links_) link->Send(encoded);
+}
+
+void entry_links::Close(link_id link) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) return;
+  const auto closed = found->second;
+  links_.erase(found);
+  closed->Close();
+  // The link may be in the middle of its own callback, so it is released in
+  // the next iteration.
+  loop_.Post(duration(0), [closed] {});
+}
+
+void entry_links::OnAccept(const std::shared_ptr<peer_link>& link) {
+  last_link_ = last_link_.Next();
+  const link_id id = last_link_;
+  links_[id] = link;
+  link->Start({[this, id](const frame& encoded) { OnFrame(id, encoded); },
+               [this, id](const std::string& reason) {
+                 LOG(INFO) << "connection of an agent ended: " << reason;
+                 links_.erase(id);
+                 hooks_.on_closed(id);
+               }});
+}
+
+void entry_links::OnFrame(link_id link, const frame& encoded) {
+  if (links_.count(link) == 0) return;
+  const auto message = DecodeAgentMessage(encoded);
+  if (message) {
+    hooks_.on_message(link, *message);
+    return;
+  }
+  metrics_.Counter("almond_bad_frames_total").Add();
+  Close(link);
+  hooks_.on_closed(link);
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/entry_links.h
@@ -0,0 +1,52 @@
+#ifndef ALMOND_PROCESSES_ENTRY_LINKS_H_
+#define ALMOND_PROCESSES_ENTRY_LINKS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "libalmond/core/dispatch_messages.h"
+#include "libalmond/core/metrics.h"
+#include "libalmond/net/peer_listener.h"
+
+namespace almond {
+
+/// The connections of agents to an entry, numbered in the order in which they
+/// were accepted.
+class entry_links {
+ public:
+  struct hooks {
+    std::function<void(link_id, const agent_message&)> on_message;
+    std::function<void(link_id)> on_closed;
+  };
+
+  entry_links(event_loop& loop, const clock_interface& clock,
+              metrics_registry& metrics, hooks callbacks);
+
+  /// @returns false if the address cannot be bound
+  bool Listen(const socket_address& address) {
+    return listener_.Listen(address);
+  }
+  const socket_address& Address() const { return listener_.Address(); }
+  /// Sends a message; ignored if the connection has ended.
+  void Send(link_id link, const entry_message& message);
+  void SendToAll(const entry_message& message);
+  /// Ends a connection without a callback.
+  void Close(link_id link);
+  std::size_t size() const { return links_.size(); }
+
+ private:
+  void OnAccept(const std::shared_ptr<peer_link>& link);
+  void OnFrame(link_id link, const frame& encoded);
+
+  event_loop& loop_;
+  metrics_registry& metrics_;
+  hooks hooks_;
+  peer_listener listener_;
+  std::map<link_id, std::shared_ptr<peer_link>> links_;
+  link_id last_link_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_ENTRY_LINKS_H_
--- /dev/null
+++ b/src/libalmond/processes/entry_metrics.h
@@ -0,0 +1,35 @@
+#ifndef ALMOND_PROCESSES_ENTRY_METRICS_H_
+#define ALMOND_PROCESSES_ENTRY_METRICS_H_
+
+#include "libalmond/controllers/entry/dispatch_controller.h"
+#include "libalmond/core/metrics.h"
+
+namespace almond {
+
+/// Metrics of the tasks of one entry, looked up once.
+class entry_metrics {
+ public:
+  /// Run time below which a task counts as short.
+  static constexpr milliseconds kShortTask{1000};
+
+  explicit entry_metrics(metrics_registry& registry);
+
+  /// Records the end of a task.
+  void OnTaskEnd(const task_end& end);
+  /// Shows the state of the controllers.
+  void Update(const dispatch_controller& dispatch);
+
+ private:
+  counter& completed_;
+  counter& failed_;
+  gauge& queued_;
+  gauge& running_;
+  distribution& ratio_;
+  distribution& wait_;
+  distribution& short_wait_;
+  distribution& run_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_ENTRY_METRICS_H_
--- a/src/libalmond/processes/entry_process.cc
+++ b/src/libalmond/processes/entry_process.cc
@@ -4,197 +4,149 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/filters/entry_filters.h"
-#include "libalmond/processes/entry_codec.h"
-#include "libalmond/wire/dispatch_codec.h"
 
 namespace almond {
+namespace {
+
+incarnation_id NewIncarnation(const clock_interface& clock) {
+  const auto since_epoch = std::chrono::duration_cast<milliseconds>(
+      clock.WallNow().time_since_epoch());
+  return incarnation_id(static_cast<std::uint64_t>(since_epoch.count()));
+}
+
+entry_state State(dispatch_controller& dispatch) {
+  return {
+      [&dispatch](const service_id& service, const team_id& team) {
+        return dispatch.Load(service, team);
+      },
+      [&dispatch](const service_id& service, const task_size& size) {
+        return dispatch.Fits(service, size);
+      },
+      [&dispatch](const team_id& team) { return dispatch.TeamQueued(team); },
+      [&dispatch](const service_id& service) { dispatch.OnOverload(service); }};
+}
+
+}  // namespace
 
 entry_process::entry_process(event_loop& loop, const clock_interface& clock,
                              entry_settings settings)
     : loop_(loop),
       clock_(clock),
       settings_(std::move(settings)),
-      incarnation_(
-          static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                         clock.WallNow().time_since_epoch())
-                                         .count())),
+      incarnation_(NewIncarnation(clock)),
       random_(std::random_device{}()),
-      dispatch_(clock, metrics_,
-                {[this](link_id link, const entry_message& message) {
-                   const auto found = links_.find(link);
-                   if (found == links_.end()) return;
-                   found->second->Send(EncodeEntryMessage(message));
-                 },
-                 [this](const task_end& end) { OnTaskEnd(end); },
-                 [this](const team_id& team) -> std::uint32_t {
-                   if (!config_) return 1;
-                   const auto found = config_->teams.find(team);
-                   return found == config_->teams.end() ? 1
-                                                        : found->second.weight;
-                 },
-                 {},
-                 {},
-                 {}}),
+      task_metrics_(metrics_),
+      dispatch_(clock, metrics_, DispatchHooks()),
       jobs_(dispatch_),
+      requests_(clock, metrics_, jobs_,
+                [this] { return uuid::MakeV7(clock_.WallNow(), random_); }),
+      submissions_(clock, dispatch_, jobs_, settings_.id, incarnation_),
       filters_(
-          MakeEntryFilters({clock, [this] { return draining_; },
-                            [this] { return config_ ? &*config_ : nullptr; }})),
+          MakeEntryFilters({clock, [this] { return closed_; },
+                            [this] { return config_ ? &*config_ : nullptr; },
+                            State(dispatch_)})),
+      admission_(MakeAdmissionFilters(
+          {clock, [this] { return closed_; },
+           [this] { return config_ ? &*config_ : nullptr; },
+           State(dispatch_)})),
       http_(loop,
             [this](const http_request& request,
                    const http_server::responder& respond) {
               OnHttp(request, respond);
             }),
-      listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
-        OnAccept(link);
-      }) {}
+      links_(loop, clock, metrics_,
+             {[this](link_id link, const agent_message& message) {
+                OnAgentMessage(link, message);
+              },
+              [this](link_id link) { dispatch_.OnAgentClosed(link); }}) {}
+
+dispatch_controller::hooks entry_process::DispatchHooks() {
+  dispatch_controller::hooks hooks;
+  hooks.send = [this](link_id link, const entry_message& message) {
+    links_.Send(link, message);
+  };
+  hooks.on_end = [this](const task_end& end) { OnTaskEnd(end); };
+  const auto team = [this](const team_id& id) {
+    if (!config_) return team_config();
+    const auto found = config_->teams.find(id);
+    return found == config_->teams.end() ? team_config() : found->second;
+  };
+  hooks.team_weight = [team](const team_id& id) { return team(id).weight; };
+  hooks.team_running_limit = [team](const team_id& id) {
+    return team(id).max_running_tasks;
+  };
+  hooks.close = [this](link_id link) { links_.Close(link); };
+  hooks.data_centre = settings_.data_centre;
+  return hooks;
+}
+
+void entry_process::SetHooks(entry_hooks hooks) {
+  hooks_ = std::move(hooks);
+  submissions_.SetLedger(hooks_.ledger);
+}
 
 bool entry_process::Start() {
   if (!http_.Listen(settings_.listen_http)) return false;
-  if (!listener_.Listen(settings_.listen_peer)) return false;
+  if (!links_.Listen(settings_.listen_peer)) return false;
   tick_timer_ = loop_.Every(kTickPeriod, [this] { Tick(); });
   hello_timer_ = loop_.Every(kHelloPeriod, [this] {
-    for (const auto& [id, link] : links_) {
-      link->Send(EncodeEntryMessage(
-          entry_hello_message{settings_.id, incarnation_, {}}));
-    }
+    links_.SendToAll(entry_hello_message{settings_.id, incarnation_, version_});
   });
   return true;
 }
 
-void entry_process::Drain(std::function<void()> on_drained) {
+void entry_process::SetConfig(site_config config, config_version version) {
+  config_ = std::move(config);
+  version_ = version;
+}
+
+void entry_process::Drain(std::function<void(std::size_t)> on_drained) {
+  if (draining_) return;
   LOG(INFO) << "draining with " << http_.Pending() << " requests in progress";
   draining_ = true;
   on_drained_ = std::move(on_drained);
-  http_.StopListening();
-}
-
-void entry_process::Tick() {
-  dispatch_.Tick();
-  metrics_.Gauge("almond_queued_tasks")
-      .Set(static_cast<double>(dispatch_.Queued()));
-  metrics_.Gauge("almond_running_tasks")
-      .Set(static_cast<double>(dispatch_.InFlight()));
-  if (on_drained_ && http_.Pending() == 0) {
-    std::exchange(on_drained_, nullptr)();
-  }
-}
-
-void entry_process::OnHttp(const http_request& request,
-                           const http_server::responder& respond) {
-  if (request.path == "/metrics" && request.method == "GET") {
-    respond({200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
-  } else if (request.path == "/healthz" && request.method == "GET") {
-    respond(Health());
-  } else if (request.path.rfind("/v1/jobs/", 0) == 0) {
-    respond(OnJobRequest(request));
-  } else {
-    OnSubmission(request, respond);
-  }
+  if (hooks_.on_draining) hooks_.on_draining();
+  drain_timer_ = loop_.After(settings_.drain_delay, [this] {
+    closed_ = true;
+    drain_end_ = clock_.SteadyNow() + settings_.drain_timeout;
+    http_.StopListening();
+  });
 }
 
-http_response entry_process::Health() const {
-  if (draining_) return {503, {}, R"({"reason":"draining"})"};
-  if (!config_) return {503, {}, R"({"reason":"no-configuration"})"};
-  return {200, {}, "{}"};
+void entry_process::CheckDrained() {
+  if (!closed_ || !on_drained_) return;
+  const std::size_t pending = http_.Pending();
+  if (pending > 0 && clock_.SteadyNow() < drain_end_) return;
+  std::exchange(on_drained_, nullptr)(pending);
 }
 
-http_response entry_process::OnJobRequest(const http_request& request) {
-  const auto path = ParseJobPath(request.path);
-  if (const auto* refused = std::get_if<refusal>(&path)) {
-    return RefusalResponse(*refused);
-  }
-  const uuid submission = std::get<uuid>(path);
-  if (!jobs_.Runs(submission)) {
-    return RefusalResponse(
-        {refusal_reason::unknown_job, run_outcome::unknown, ""});
-  }
-  if (request.method == "DELETE") jobs_.Cancel(submission);
-  return {202, {}, R"({"state":"running"})"};
+void entry_process::Tick() {
+  dispatch_.Tick();
+  submissions_.Tick();
+  task_metrics_.Update(dispatch_);
+  metrics_.Gauge("almond_retry_budget_tokens").Set(requests_.Budget().Tokens());
+  CheckDrained();
 }
 
-void entry_process::Refuse(const refusal& refused,
-                           const http_server::responder& respond) {
-  metrics_.Refusals(refused.reason).Add();
-  respond(RefusalResponse(refused));
+void entry_process::OnTaskEnd(const task_end& end) {
+  task_metrics_.OnTaskEnd(end);
+  jobs_.OnTaskEnd(end);
 }
 
-void entry_process::OnSubmission(const http_request& request,
-                                 const http_server::responder& respond) {
-  auto parsed = ParseSubmission(request);
-  if (const auto* refused = std::get_if<refusal>(&parsed)) {
-    Refuse(*refused, respond);
+void entry_process::OnAgentMessage(link_id link, const agent_message& message) {
+  if (std::holds_alternative<config_request_message>(message)) {
+    if (hooks_.on_config_request) hooks_.on_config_request(link);
     return;
   }
-  auto& context = std::get<request_context>(parsed);
-  if (const auto refused = filters_.Run(context)) {
-    Refuse(*refused, respond);
+  if (const auto* snapshot = std::get_if<config_snapshot_message>(&message)) {
+    if (hooks_.on_config_snapshot) hooks_.on_config_snapshot(link, *snapshot);
     return;
   }
-  const bool is_job = context.is_job;
-  jobs_.Submit(
-      MakeTasks(context), [this, respond, is_job](const job_answer& answer) {
-        if (const auto* failed = std::get_if<job_failed>(&answer)) {
-          metrics_.Refusals(failed->cause.reason).Add();
-        }
-        respond(is_job ? JobResponse(answer) : RequestResponse(answer));
-      });
-}
-
-std::vector<task> entry_process::MakeTasks(request_context& context) {
-  const uuid submission =
-      context.submission.value_or(uuid::MakeV7(clock_.WallNow(), random_));
-  std::vector<task> tasks;
-  tasks.reserve(context.tasks.size());
-  for (task_request& request : context.tasks) {
-    task work;
-    work.name = {submission, static_cast<std::uint32_t>(tasks.size())};
-    work.service = context.service;
-    work.team = context.team;
-    work.kind = context.kind;
-    work.body = std::move(request.body);
-    work.size = request.size;
-    work.deadline = context.deadline;
-    work.named_submission = context.submission.has_value();
-    tasks.push_back(std::move(work));
-  }
-  return tasks;
-}
-
-void entry_process::OnTaskEnd(const task_end& end) {
-  if (std::holds_alternative<task_success>(end.result)) {
-    metrics_.Counter("almond_tasks_completed_total").Add();
-    metrics_.Distribution("almond_run_seconds").Add(end.run_time);
-    metrics_.Distribution("almond_wait_seconds").Add(end.wait);
-  } else {
-    metrics_.Counter("almond_tasks_failed_total").Add();
-  }
-  jobs_.OnTaskEnd(end);
-}
-
-void entry_process::OnAccept(const std::shared_ptr<peer_link>& link) {
-  last_link_ = last_link_.Next();
-  const link_id id = last_link_;
-  links_[id] = link;
-  link->Start({[this, id](const frame& encoded) { OnFrame(id, encoded); },
-               [this, id](const std::string& reason) {
-                 LOG(INFO) << "connection of an agent ended: " << reason;
-                 links_.erase(id);
-                 dispatch_.OnAgentClosed(id);
-               }});
-}
-
-void entry_process::OnFrame(link_id link, const frame& encoded) {
-  const auto message = DecodeAgentMessage(encoded);
-  if (message) {
-    dispatch_.OnMessage(link, *message);
-    return;
+  const auto* announce = std::get_if<announce_message>(&message);
+  if (announce != nullptr && hooks_.on_agent_version) {
+    hooks_.on_agent_version(link, announce->version);
   }
-  metrics_.Counter("almond_bad_frames_total").Add();
-  const auto found = links_.find(link);
-  if (found == links_.end()) return;
-  found->second->Close();
-  links_.erase(found);
-  dispatch_.OnAgentClosed(link);
+  dispatch_.OnMessage(link, message);
 }
 
 }  // namespace almond
--- a/src/libalmond/processes/entry_process.h
+++ b/src/libalmond/processes/entry_process.h
@@ -2,18 +2,20 @@
 #define ALMOND_PROCESSES_ENTRY_PROCESS_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 
 #include "libalmond/controllers/entry/dispatch_controller.h"
 #include "libalmond/controllers/entry/job_controller.h"
+#include "libalmond/controllers/entry/request_controller.h"
+#include "libalmond/controllers/entry/submission_controller.h"
 #include "libalmond/core/metrics.h"
 #include "libalmond/filters/filter_chain.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/net/http_server.h"
-#include "libalmond/net/peer_listener.h"
+#include "libalmond/processes/entry_links.h"
+#include "libalmond/processes/entry_metrics.h"
 
 namespace almond {
 
@@ -23,10 +25,31 @@
   data_centre_id data_centre;
   socket_address listen_http;
   socket_address listen_peer;
+  /// Time between the failing health check and the closing of the listener, in
+  /// which the balancer sees the former.
+  milliseconds drain_delay{0};
+  /// Longest time for requests in progress after the listener has closed.
+  milliseconds drain_timeout{60000};
 };
 
-/// An entry: wires callers' HTTP requests through the filter chain to the job
-/// and dispatch controllers, and these to the agents' links.
+/// What the parts around an entry provide; each may be empty.
+struct entry_hooks {
+  ledger_hooks ledger;
+  /// Response to GET /v1/config.
+  std::function<http_response()> config_report;
+  /// Reason for which the process is unhealthy; empty if it is not.
+  std::function<std::string()> unhealthy;
+  std::function<void(link_id)> on_config_request;
+  std::function<void(link_id, const config_snapshot_message&)>
+      on_config_snapshot;
+  /// Configuration version that an agent announced.
+  std::function<void(link_id, config_version)> on_agent_version;
+  /// Called once when draining begins.
+  std::function<void()> on_draining;
+};
+
+/// An entry: wires callers' HTTP requests through the filter chain to the
+/// controllers, and these to the agents' links.
 class entry_process {
  public:
   static constexpr milliseconds kTickPeriod{50};
@@ -35,37 +58,60 @@
   entry_process(event_loop& loop, const clock_interface& clock,
                 entry_settings settings);
 
+  /// Sets what surrounds the entry; to be called before Start.
+  void SetHooks(entry_hooks hooks);
+
   /// Binds the ports.
   /// @returns false if one of them cannot be bound
   bool Start();
 
-  /// Refuses new requests and lets those in progress finish.
-  /// @param on_drained called when the last response has been handed over
-  void Drain(std::function<void()> on_drained);
+  /// Fails the health check, then closes the listener and lets requests in
+  /// progress finish.
+  /// @param on_drained called once with the number of requests that are
+  ///   abandoned: 0, or those left after the drain timeout
+  void Drain(std::function<void(std::size_t)> on_drained);
+  bool Draining() const { return draining_; }
 
   /// Puts a configuration into force.
-  void SetConfig(site_config config) { config_ = std::move(config); }
+  /// @param version announced to the agents
+  void SetConfig(site_config config, config_version version = {});
+
+  /// Sends a message to one agent, such as a configuration.
+  void SendToAgent(link_id link, const entry_message& message) {
+    links_.Send(link, message);
+  }
+  /// Ends a submission whose owner died.
+  void TakeOver(const ledger_record& record) { submissions_.TakeOver(record); }
 
   const socket_address& HttpAddress() const { return http_.Address(); }
-  const socket_address& PeerAddress() const { return listener_.Address(); }
+  const socket_address& PeerAddress() const { return links_.Address(); }
+  incarnation_id Incarnation() const { return incarnation_; }
+  metrics_registry& Metrics() { return metrics_; }
+  /// @returns number of requests in progress
+  std::size_t Pending() const { return http_.Pending(); }
   std::size_t Agents(const service_id& service) const {
     return dispatch_.Agents(service);
   }
 
  private:
+  dispatch_controller::hooks DispatchHooks();
+  void OnAgentMessage(link_id link, const agent_message& message);
+
+  // entry_http.cc: callers' requests
   void OnHttp(const http_request& request,
               const http_server::responder& respond);
   void OnSubmission(const http_request& request,
                     const http_server::responder& respond);
-  http_response OnJobRequest(const http_request& request);
-  http_response Health() const;
+  void OnJobRequest(const http_request& request,
+                    const http_server::responder& respond);
+  void Submit(request_context& context, const http_server::responder& respond);
   void Refuse(const refusal& refused, const http_server::responder& respond);
+  http_response Health() const;
   std::vector<task> MakeTasks(request_context& context);
 
-  void OnAccept(const std::shared_ptr<peer_link>& link);
-  void OnFrame(link_id link, const frame& encoded);
   void OnTaskEnd(const task_end& end);
   void Tick();
+  void CheckDrained();
 
   event_loop& loop_;
   const clock_interface& clock_;
@@ -73,18 +119,25 @@
   incarnation_id incarnation_;
   std::mt19937_64 random_;
   metrics_registry metrics_;
+  entry_metrics task_metrics_;
+  entry_hooks hooks_;
   std::optional<site_config> config_;
+  config_version version_;
   dispatch_controller dispatch_;
   job_controller jobs_;
+  request_controller requests_;
+  submission_controller submissions_;
   filter_chain filters_;
+  filter_chain admission_;
   http_server http_;
-  peer_listener listener_;
-  std::map<link_id, std::shared_ptr<peer_link>> links_;
-  link_id last_link_;
+  entry_links links_;
   bool draining_ = false;
-  std::function<void()> on_drained_;
+  bool closed_ = false;  ///< the listener has closed
+  steady_time drain_end_;
+  std::function<void(std::size_t)> on_drained_;
   event_handle tick_timer_;
   event_handle hello_timer_;
+  event_handle drain_timer_;
 };
 
 }  // namespace almond
