--- /dev/null
+++ b/tests/entry_process/entry_process_test.cc
@@ -0,0 +1,139 @@
+#include "libalmond/processes/entry_process.h"
+
+#include <catch2/catch.hpp>
+
+#include "libalmond/processes/agent_process.h"
+
+namespace almond {
+namespace {
+
+const socket_address kAnyPort{"127.0.0.1", 0};
+
+/// One entry with one agent and an endpoint that answers on demand.
+class entry_process_fixture {
+ protected:
+  entry_process_fixture()
+      : entry_(loop_, clock_,
+               {entry_id("e1"), data_centre_id("dc1"), kAnyPort, kAnyPort,
+                milliseconds(100), milliseconds(5000)}),
+        endpoint_(loop_, [this](const http_request&,
+                                const http_server::responder& respond) {
+          held_.push_back(respond);
+          if (on_task_) on_task_();
+        }) {
+    site_config config;
+    config.services[service_id("s")].team = team_id("t");
+    config.teams[team_id("t")];
+    entry_.SetConfig(config);
+    REQUIRE(entry_.Start());
+    REQUIRE(endpoint_.Listen(kAnyPort));
+    agent_ =
+        std::make_unique<agent_process>(loop_, clock_,
+                                        agent_settings{agent_id("a1"),
+                                                       data_centre_id("dc1"),
+                                                       kAnyPort,
+                                                       {entry_.PeerAddress()}});
+    REQUIRE(agent_->Start());
+    const std::string body = R"({"service":"s","slots":2,"url":"http://)" +
+                             endpoint_.Address().ToString() + "\"}";
+    Call(agent_->HttpAddress(), {"PUT", "/v1/endpoint", "", {}, body});
+    const auto poll = loop_.Every(milliseconds(5), [this] {
+      if (entry_.Agents(service_id("s")) == 1) loop_.Stop();
+    });
+    loop_.Run();
+  }
+
+  http_call_result Call(const socket_address& address,
+                        const http_request& request) {
+    http_call_result end;
+    SendHttpRequest(loop_, address, request, milliseconds(20000),
+                    [&](const http_call_result& result) {
+                      end = result;
+                      loop_.Stop();
+                    });
+    loop_.Run();
+    return end;
+  }
+  http_call_result Get(const std::string& path) {
+    return Call(entry_.HttpAddress(), {"GET", path, "", {}, ""});
+  }
+
+  event_loop loop_;
+  system_clock clock_;
+  entry_process entry_;
+  http_server endpoint_;
+  std::unique_ptr<agent_process> agent_;
+  std::vector<http_server::responder> held_;
+  std::function<void()> on_task_;
+};
+
+// Guards against a shutdown that interrupts requests or that the balancer
+// cannot see.
+TEST_CASE_METHOD(entry_process_fixture,
+                 "draining / request in progress / health fails and it ends") {
+  CHECK(Get("/healthz").response.status == 200);
+  http_call_result answer;
+  std::optional<std::size_t> abandoned;
+  on_task_ = [this] { loop_.Stop(); };
+  SendHttpRequest(loop_, entry_.HttpAddress(),
+                  {"POST", "/v1/services/s/requests", "", {}, "x"},
+                  milliseconds(20000),
+                  [&](const http_call_result& result) { answer = result; });
+  loop_.Run();
+  entry_.Drain([&](std::size_t requests) {
+    abandoned = requests;
+    loop_.Stop();
+  });
+  CHECK(Get("/healthz").response.status == 503);
+  CHECK_FALSE(abandoned);
+  loop_.Post(milliseconds(300), [this] { loop_.Stop(); });
+  loop_.Run();
+  CHECK(Get("/healthz").outcome == http_call_outcome::not_sent);
+  REQUIRE(held_.size() == 1);
+  held_[0]({200, {}, "result"});
+  loop_.Run();
+  CHECK(answer.response.body == "result");
+  CHECK(abandoned == 0);
+}
+
+// Guards against metrics and pages that operators rely on going missing.
+TEST_CASE_METHOD(entry_process_fixture,
+                 "entry / operators' pages / present from the start") {
+  const std::string text = Get("/metrics").response.body;
+  for (const char* name :
+       {"almond_tasks_completed_total", "almond_tasks_failed_total",
+        "almond_dispatch_messages_total{type=\"start\"}",
+        "almond_wasted_messages_total{type=\"query\"}", "almond_queued_tasks",
+        "almond_running_tasks", "almond_response_ratio", "almond_wait_seconds",
+        "almond_short_wait_seconds", "almond_run_seconds",
+        "almond_ejections_total",
+        "almond_refusals_total{reason=\"overloaded\"}"}) {
+    INFO(name);
+    CHECK(text.find(name) != std::string::npos);
+  }
+  CHECK(Get("/v1/config").response.status == 404);
+  entry_hooks hooks;
+  hooks.config_report = [] { return http_response{200, {}, "{}"}; };
+  entry_.SetHooks(hooks);
+  CHECK(Get("/v1/config").response.status == 200);
+  CHECK(Get("/v1/jobs/01890a5d-ac96-774b-bcce-b302099a8057").response.status ==
+        404);
+}
+
+// Guards against a named submission that runs without the ledger.
+TEST_CASE_METHOD(entry_process_fixture,
+                 "named submission / no ledger / refused as not run") {
+  const auto end =
+      Call(entry_.HttpAddress(),
+           {"POST",
+            "/v1/services/s/requests",
+            "",
+            {{"Almond-Submission", "01890a5d-ac96-774b-bcce-b302099a8057"}},
+            "x"});
+  CHECK(end.response.status == 503);
+  CHECK(HeaderValue(end.response.headers, "Almond-Outcome") == "not-run");
+  CHECK(held_.empty());
+}
+
+}  // namespace
+}  // namespace almond
