Free HTTP connections that could not be opened

Cause: evhttp frees a connection on completion only if it was established; each call to an address where nothing listens leaked one (LeakSanitizer: 13 objects in tests/almondctl). Two classes were named control_client. Change: the client frees such a connection in the next loop iteration; the operators' class is renamed to control_api_client. Before: test_almondctl red under sanitizers.

--- a/src/libalmond/net/http_client.cc
+++ b/src/libalmond/net/http_client.cc
@@ -20,8 +20,9 @@
 
   void Begin(const socket_address& address, const http_request& request,
              milliseconds timeout) {
-    evhttp_connection* connection = evhttp_connection_base_new(
-        loop_.Base(), nullptr, address.ip.c_str(), address.port);
+    connection_ = evhttp_connection_base_new(loop_.Base(), nullptr,
+                                             address.ip.c_str(), address.port);
+    evhttp_connection* connection = connection_;
     const timeval limit = {timeout.count() / 1000,
                            timeout.count() % 1000 * 1000};
     evhttp_connection_set_timeout_tv(connection, &limit);
@@ -37,6 +38,7 @@
     // On failure evhttp has freed the request; nothing was written.
     if (evhttp_make_request(connection, message, Command(request.method),
                             target.c_str()) != 0) {
+      FreeConnection();
       Finish({http_call_outcome::not_sent, {}});
     }
   }
@@ -70,6 +72,7 @@
     if (self->failed_ || message == nullptr) {
       self->Finish({http_call_outcome::lost, {}});
     } else if (evhttp_request_get_response_code(message) == 0) {
+      self->FreeConnection();
       self->Finish({http_call_outcome::not_sent, {}});
     } else {
       self->Finish({http_call_outcome::answered, Response(message)});
@@ -90,6 +93,14 @@
     return response;
   }
 
+  // evhttp frees a connection on completion only if it was established; it may
+  // still be in use by the caller of this callback.
+  void FreeConnection() {
+    loop_.Post(milliseconds(0), [connection = connection_] {
+      evhttp_connection_free(connection);
+    });
+  }
+
   void Finish(http_call_result result) {
     loop_.Post(milliseconds(0), [hook = std::move(on_end_),
                                  result = std::move(result)] { hook(result); });
@@ -98,6 +109,7 @@
 
   event_loop& loop_;
   http_call_hook on_end_;
+  evhttp_connection* connection_ = nullptr;
   bool failed_ = false;
 };
 
--- a/src/libalmond/operator_commands/config_commands.cc
+++ b/src/libalmond/operator_commands/config_commands.cc
@@ -6,7 +6,7 @@
 
 #include "libalmond/config/config_loader.h"
 #include "libalmond/core/uuid.h"
-#include "libalmond/operator_commands/control_client.h"
+#include "libalmond/operator_commands/control_api_client.h"
 #include "libalmond/operator_commands/http_exchange.h"
 #include "libalmond/operator_commands/json_reply.h"
 #include "libalmond/operator_commands/line_diff.h"
@@ -183,7 +183,7 @@
   json body = Encode(document);
   body["expect_version"] = line.Number("expect-version", 0);
   body["change_id"] = change_id;
-  control_client client(context, line.Addresses("control"));
+  control_api_client client(context, line.Addresses("control"));
   const control_answer answer =
       client.Call({"POST",
                    kConfigPath,
@@ -232,7 +232,7 @@
 
 exit_code ConfigDiff(const command_line& line,
                      const operator_context& context) {
-  control_client client(context, line.Addresses("control"));
+  control_api_client client(context, line.Addresses("control"));
   std::vector<json> versions;
   for (const std::string flag : {"from", "to"}) {
     const control_answer answer =
--- a/src/libalmond/operator_commands/control_client.cc
+++ b/src/libalmond/operator_commands/control_api_client.cc
@@ -1,4 +1,4 @@
-#include "libalmond/operator_commands/control_client.h"
+#include "libalmond/operator_commands/control_api_client.h"
 
 #include "libalmond/operator_commands/http_exchange.h"
 #include "libalmond/operator_commands/json_reply.h"
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-control_answer control_client::Call(const http_request& request) {
+control_answer control_api_client::Call(const http_request& request) {
   answer_ = {};
   for (int round = 0; round < kRounds && !controls_.empty(); ++round) {
     if (round > 0) RunFor(context_.loop, context_.round_pause);
@@ -20,7 +20,7 @@
   return answer_;
 }
 
-bool control_client::TryRound(const http_request& request) {
+bool control_api_client::TryRound(const http_request& request) {
   waiting_ = controls_;
   tried_.clear();
   while (!waiting_.empty()) {
@@ -32,8 +32,8 @@
   return false;
 }
 
-bool control_client::Try(const socket_address& address,
-                         const http_request& request) {
+bool control_api_client::Try(const socket_address& address,
+                             const http_request& request) {
   const http_call_result result =
       Exchange(context_.loop, address, request, kCallTimeout);
   if (result.outcome == http_call_outcome::not_sent) return false;
--- a/src/libalmond/operator_commands/control_client.h
+++ b/src/libalmond/operator_commands/control_api_client.h
@@ -1,5 +1,5 @@
-#ifndef ALMOND_OPERATOR_COMMANDS_CONTROL_CLIENT_H_
-#define ALMOND_OPERATOR_COMMANDS_CONTROL_CLIENT_H_
+#ifndef ALMOND_OPERATOR_COMMANDS_CONTROL_API_CLIENT_H_
+#define ALMOND_OPERATOR_COMMANDS_CONTROL_API_CLIENT_H_
 
 #include <set>
 #include <vector>
@@ -23,15 +23,15 @@
 };
 
 /// Calls the control processes in order until the leader answers.
-class control_client {
+class control_api_client {
  public:
   /// Rounds over all control processes before the client gives up.
   static constexpr int kRounds = 10;
   /// Longest time without progress of one call.
   static constexpr milliseconds kCallTimeout{5000};
 
-  control_client(const operator_context& context,
-                 std::vector<socket_address> controls)
+  control_api_client(const operator_context& context,
+                     std::vector<socket_address> controls)
       : context_(context), controls_(std::move(controls)) {}
 
   /// Sends a request, again after a lost answer. The request must therefore
@@ -51,4 +51,4 @@
 
 }  // namespace almond
 
-#endif  // ALMOND_OPERATOR_COMMANDS_CONTROL_CLIENT_H_
+#endif  // ALMOND_OPERATOR_COMMANDS_CONTROL_API_CLIENT_H_
--- a/src/libalmond/operator_commands/reply_printer.cc
+++ b/src/libalmond/operator_commands/reply_printer.cc
@@ -103,7 +103,7 @@
                            const operator_context& context,
                            const std::string& path, const std::string& query,
                            const reply_hook& print) {
-  control_client client(context, line.Addresses("control"));
+  control_api_client client(context, line.Addresses("control"));
   const control_answer answer = client.Call({"GET", path, query, {}, {}});
   return PrintControlAnswer(line, context, answer, print);
 }
--- a/src/libalmond/operator_commands/reply_printer.h
+++ b/src/libalmond/operator_commands/reply_printer.h
@@ -9,7 +9,7 @@
 #include "libalmond/config/config_loader.h"
 #include "libalmond/net/http_client.h"
 #include "libalmond/operator_commands/command_line.h"
-#include "libalmond/operator_commands/control_client.h"
+#include "libalmond/operator_commands/control_api_client.h"
 #include "libalmond/operator_commands/exit_code.h"
 
 namespace almond {
