Complete the agent's decisions and split its process

Cause: The first agent covered only the plain path. It looked at a start's grant before its name, so that a doubled start was told "not sent" although the task ran. It called a name fenced that an older epoch had started, and a forgotten name was reported as never started. Grants of one service stayed valid after the endpoint had changed to another one.

Change: agent_controller holds all decisions of an agent without I/O and owns start_table, slot_controller, suspension_controller and endpoint_controller. agent_process only wires it to agent_entry_links, endpoint_link and agent_http. The start table is bounded in names, fences and answer bytes, and reports "unknown" wherever its memory has ended. Slots are granted to the largest unmet demand, renewed before a lease ends, and revoked with the endpoint. Aged tasks are paused once the endpoint has confirmed it, resumed first paused first, with a reserve for aged work. Sizes are admitted against the endpoint's announced resources. Announcements are checked field by field.

--- a/src/libalmond/controllers/agent/endpoint_announcement.h
+++ b/src/libalmond/controllers/agent/endpoint_announcement.h
@@ -17,6 +17,8 @@
   std::uint32_t cpu_milli = 0;   ///< thousandths of a core; 0 if not stated
   std::uint32_t memory_mib = 0;  ///< mebibytes; 0 if not stated
   endpoint_controls controls;
+
+  bool operator==(const endpoint_announcement&) const = default;
 };
 
 }  // namespace almond
--- a/src/libalmond/controllers/agent/slot_controller.cc
+++ b/src/libalmond/controllers/agent/slot_controller.cc
@@ -14,9 +14,35 @@
   entries_.erase(position);
 }
 
+void slot_controller::Revoke() {
+  for (auto& [entry, state] : entries_) {
+    state.grants.clear();
+    state.recalled = 0;
+  }
+  leases_.clear();
+  granted_ = 0;
+}
+
+void slot_controller::Reset() {
+  Revoke();
+  busy_ = 0;
+}
+
 void slot_controller::SetDemand(link_id entry, std::uint32_t backlog) {
   const auto position = entries_.find(entry);
-  if (position != entries_.end()) position->second.demand = backlog;
+  if (position == entries_.end()) return;
+  position->second.demand = backlog;
+  if (backlog == 0) position->second.overloaded = false;
+}
+
+void slot_controller::SetOverloaded(link_id entry, bool overloaded) {
+  const auto position = entries_.find(entry);
+  if (position != entries_.end()) position->second.overloaded = overloaded;
+}
+
+void slot_controller::HoldBack(link_id entry, steady_time until) {
+  const auto position = entries_.find(entry);
+  if (position != entries_.end()) position->second.held_until = until;
 }
 
 void slot_controller::Return(link_id entry,
@@ -36,56 +62,96 @@
   auto& grants = position->second.grants;
   const auto held = grants.find(grant);
   if (held == grants.end()) return false;
-  const bool valid = held->second > clock_.SteadyNow();
+  const bool valid = held->second > clock_.SteadyNow() && busy_ < slots_;
   grants.erase(held);
   --granted_;
   if (valid) ++busy_;
   return valid;
 }
 
-void slot_controller::Release() { --busy_; }
-
-slot_controller::actions slot_controller::Allocate() {
+slot_controller::actions slot_controller::Allocate(std::uint32_t grantable,
+                                                   std::uint32_t wanted) {
   EndLeases();
   actions result;
+  if (!granting_) return result;
   std::map<link_id, std::vector<grant_id>> issued;
   const steady_time end = clock_.SteadyNow() + kLease;
-  while (busy_ + granted_ < slots_) {
+  for (std::uint32_t free = std::min(Free(), grantable); free > 0; --free) {
     auto* next = NextEntry();
     if (next == nullptr) break;
     last_grant_ = last_grant_.Next();
     next->second.grants.emplace(last_grant_, end);
+    next->second.served = last_grant_.Value();
+    leases_.push_back({end, next->first, last_grant_});
     ++granted_;
     issued[next->first].push_back(last_grant_);
   }
   for (auto& [entry, grants] : issued) {
     result.grants.push_back({entry, std::move(grants)});
   }
-  RecallSurplus(result);
+  Recall(wanted, result);
   return result;
 }
 
 void slot_controller::EndLeases() {
   const steady_time now = clock_.SteadyNow();
-  for (auto& [entry, state] : entries_) {
-    const std::size_t ended = std::erase_if(
-        state.grants, [now](const auto& grant) { return grant.second <= now; });
-    granted_ -= static_cast<std::uint32_t>(ended);
-    if (ended > 0) state.recalled = 0;
+  while (!leases_.empty() && leases_.front().end <= now) {
+    const lease ended = leases_.front();
+    leases_.pop_front();
+    const auto position = entries_.find(ended.entry);
+    if (position == entries_.end()) continue;
+    if (position->second.grants.erase(ended.grant) == 0) continue;
+    --granted_;
+    if (position->second.recalled > 0) --position->second.recalled;
+  }
+}
+
+std::uint32_t slot_controller::Unmet(const entry_state& state) {
+  const auto held = static_cast<std::uint32_t>(state.grants.size());
+  return state.demand > held ? state.demand - held : 0;
+}
+
+std::uint32_t slot_controller::Unmet() const {
+  if (!granting_) return 0;
+  std::uint64_t total = 0;
+  const steady_time now = clock_.SteadyNow();
+  for (const auto& [entry, state] : entries_) {
+    if (state.held_until <= now) total += Unmet(state);
+  }
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(total, UINT32_MAX));
+}
+
+std::uint32_t slot_controller::Idle() const {
+  std::uint32_t total = 0;
+  for (const auto& [entry, state] : entries_) {
+    const auto held = static_cast<std::uint32_t>(state.grants.size());
+    if (held > state.demand) total += held - state.demand;
   }
+  return total;
 }
 
-std::pair<const link_id, slot_controller::entry_state>*
-slot_controller::NextEntry() {
+std::uint32_t slot_controller::Free() const {
+  return slots_ > busy_ + granted_ ? slots_ - busy_ - granted_ : 0;
+}
+
+bool slot_controller::Overloaded() const {
+  return std::any_of(entries_.begin(), entries_.end(),
+                     [](const auto& entry) { return entry.second.overloaded; });
+}
+
+slot_controller::entry_map::value_type* slot_controller::NextEntry() {
   // The largest unmet demand comes first; without demand, the entry with the
-  // fewest grants, so that idle slots are spread evenly.
+  // fewest grants, so that idle slots are spread evenly. Among equals it is the
+  // one that was served longest ago.
   const auto rank = [](const entry_state& state) {
-    const auto held = static_cast<std::int64_t>(state.grants.size());
-    const std::int64_t unmet = std::int64_t{state.demand} - held;
-    return std::tuple(std::max<std::int64_t>(unmet, 0), -held);
+    return std::tuple(Unmet(state),
+                      -static_cast<std::int64_t>(state.grants.size()),
+                      -static_cast<std::int64_t>(state.served));
   };
-  std::pair<const link_id, entry_state>* best = nullptr;
+  const steady_time now = clock_.SteadyNow();
+  entry_map::value_type* best = nullptr;
   for (auto& candidate : entries_) {
+    if (candidate.second.held_until > now) continue;
     if (best == nullptr || rank(candidate.second) > rank(best->second)) {
       best = &candidate;
     }
@@ -93,20 +159,36 @@
   return best;
 }
 
-void slot_controller::RecallSurplus(actions& result) {
-  if (slots_ == 0) return;
-  std::uint32_t unmet = 0;
+std::uint32_t slot_controller::Aging(const entry_state& state) const {
+  // Grant ids grow with time, so the oldest leases come first.
+  const steady_time limit = clock_.SteadyNow() + kRenewal;
+  std::uint32_t count = 0;
+  for (const auto& [grant, end] : state.grants) {
+    if (end > limit) break;
+    ++count;
+  }
+  return count;
+}
+
+void slot_controller::Recall(std::uint32_t wanted, actions& result) {
+  std::uint32_t needed = wanted;
+  const std::uint32_t unmet = Unmet();
+  needed = unmet > UINT32_MAX - needed ? UINT32_MAX : needed + unmet;
   for (const auto& [entry, state] : entries_) {
-    const auto held = static_cast<std::uint32_t>(state.grants.size());
-    if (state.demand > held) unmet += state.demand - held;
+    needed -= std::min(needed, state.recalled);
   }
   for (auto& [entry, state] : entries_) {
     const auto held = static_cast<std::uint32_t>(state.grants.size());
-    const std::uint32_t kept = state.demand + state.recalled;
-    if (unmet == 0 || held <= kept) continue;
-    const std::uint32_t count = std::min(unmet, held - kept);
+    const auto kept = std::min<std::uint64_t>(
+        held, std::uint64_t{state.demand} + state.recalled);
+    const std::uint32_t aging = Aging(state);
+    const std::uint32_t renewed =
+        aging > state.recalled ? aging - state.recalled : 0;
+    const std::uint32_t count = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(held - kept, std::max(needed, renewed)));
+    if (count == 0) continue;
+    needed -= std::min(needed, count);
     state.recalled += count;
-    unmet -= count;
     result.recalls.push_back({entry, count});
   }
 }
--- a/src/libalmond/controllers/agent/slot_controller.h
+++ b/src/libalmond/controllers/agent/slot_controller.h
@@ -2,6 +2,7 @@
 #define ALMOND_CONTROLLERS_AGENT_SLOT_CONTROLLER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -15,8 +16,13 @@
 /// at a time, under a lease; entries with unmet demand come first.
 class slot_controller {
  public:
-  /// Time for which a grant may be used.
+  /// Time for which a grant may be used; with the end of granting at a leave,
+  /// it bounds the time in which a leaving endpoint still gets work.
   static constexpr milliseconds kLease{2000};
+  /// Rest of a lease at which an unused grant is asked back, so that the entry
+  /// gets a fresh one before it stops using the old one (300 ms before the
+  /// end).
+  static constexpr milliseconds kRenewal{600};
 
   /// Grants to send to one entry.
   struct grant_action {
@@ -35,9 +41,16 @@
 
   explicit slot_controller(const clock_interface& clock) : clock_(clock) {}
 
-  /// @param slots number of slots; 0 while the endpoint is absent or leaving,
-  ///   which stops all granting at once
-  void SetSlots(std::uint32_t slots) { slots_ = slots; }
+  /// @param slots number of slots; a reduction ends no task, but grants beyond
+  ///   the capacity are refused when they are used
+  void SetCapacity(std::uint32_t slots) { slots_ = slots; }
+  /// @param granting false while the endpoint is absent or leaving; grants that
+  ///   are out stay valid for their lease
+  void SetGranting(bool granting) { granting_ = granting; }
+  /// Ends all grants and frees all slots, for another endpoint.
+  void Reset();
+  /// Ends all grants.
+  void Revoke();
 
   void AddEntry(link_id entry);
   /// Frees the grants of an entry whose connection has ended: starts that used
@@ -45,39 +58,75 @@
   void RemoveEntry(link_id entry);
   /// @param backlog tasks that the entry has queued beyond its grants
   void SetDemand(link_id entry, std::uint32_t backlog);
+  /// @param overloaded the entry refuses work for lack of slots
+  void SetOverloaded(link_id entry, bool overloaded);
+  /// Gives an entry no grant until that time, after a start that could not be
+  /// admitted: without it the same start would come back at once.
+  void HoldBack(link_id entry, steady_time until);
   void Return(link_id entry, const std::vector<grant_id>& grants);
 
   /// Uses up a grant; its slot is taken until Release is called.
-  /// @returns false if the grant is unknown or its lease has ended
+  /// @returns false if the grant is unknown, its lease has ended, or the
+  ///   capacity was reduced in the meantime
   bool Use(link_id entry, grant_id grant);
-  /// Frees the slot of a task that has ended.
-  void Release();
-
-  /// Grants free slots and ends leases.
+  /// Takes a free slot for a task that is resumed.
+  void Take() { ++busy_; }
+  /// Frees the slot of a task that has ended or is suspended.
+  void Release() { --busy_; }
+
+  /// Grants free slots and ends leases. Costs the number of entries for each
+  /// slot that it grants, and once more.
+  /// @param grantable bound on new grants, for lack of other resources
+  /// @param wanted idle slots that suspended tasks wait for
   /// @returns what to send
-  actions Allocate();
-
+  actions Allocate(std::uint32_t grantable = UINT32_MAX,
+                   std::uint32_t wanted = 0);
+
+  /// @returns tasks that entries have queued beyond their grants
+  std::uint32_t Unmet() const;
+  /// @returns grants that their entries have no queued task for
+  std::uint32_t Idle() const;
+  /// @returns slots neither taken nor granted
+  std::uint32_t Free() const;
+  bool Overloaded() const;
+  bool Granting() const { return granting_; }
+  std::uint32_t Capacity() const { return slots_; }
   std::uint32_t Busy() const { return busy_; }
   std::uint32_t Granted() const { return granted_; }
 
+  /// Ends the leases that are over.
+  void EndLeases();
+
  private:
   struct entry_state {
     std::uint32_t demand = 0;
     std::uint32_t recalled = 0;
+    bool overloaded = false;
+    steady_time held_until;
+    std::uint64_t served = 0;  ///< number of the last grant, for ties
     std::map<grant_id, steady_time> grants;
   };
+  using entry_map = std::map<link_id, entry_state>;
+  struct lease {
+    steady_time end;
+    link_id entry;
+    grant_id grant;
+  };
 
-  void EndLeases();
+  static std::uint32_t Unmet(const entry_state& state);
   /// @returns the entry that gets the next free slot, or null without entries
-  std::pair<const link_id, entry_state>* NextEntry();
-  void RecallSurplus(actions& result);
+  entry_map::value_type* NextEntry();
+  std::uint32_t Aging(const entry_state& state) const;
+  void Recall(std::uint32_t wanted, actions& result);
 
   const clock_interface& clock_;
   std::uint32_t slots_ = 0;
+  bool granting_ = false;
   std::uint32_t busy_ = 0;
   std::uint32_t granted_ = 0;
   grant_id last_grant_;
-  std::map<link_id, entry_state> entries_;
+  entry_map entries_;
+  std::deque<lease> leases_;  ///< oldest first; used ones are left in place
 };
 
 }  // namespace almond
--- a/src/libalmond/controllers/agent/start_table.cc
+++ b/src/libalmond/controllers/agent/start_table.cc
@@ -4,46 +4,75 @@
 
 namespace almond {
 
-start_table::begin_outcome start_table::Begin(const task_name& name,
-                                              owner_epoch epoch) {
-  const auto fence = min_epochs_.find(name.submission);
-  if (fence != min_epochs_.end() && epoch < fence->second) {
-    return begin_outcome::fenced;
-  }
-  const auto [position, inserted] = records_.try_emplace(name);
-  if (!inserted) {
+start_table::begin_outcome start_table::Check(const task_name& name,
+                                              owner_epoch epoch) const {
+  // A known name comes before the epoch's fence: `fenced` says that nothing
+  // ran, which would be untrue for a name that was started.
+  const auto position = records_.find(name);
+  if (position != records_.end()) {
     return position->second.state == task_state::fenced ? begin_outcome::fenced
                                                         : begin_outcome::known;
   }
-  position->second.state = task_state::running;
-  position->second.changed = clock_.SteadyNow();
-  submissions_[name.submission].push_back(name.index);
-  ++running_;
+  if (Superseded(name.submission, epoch)) return begin_outcome::fenced;
+  if (MayHaveExpired(name.submission)) return begin_outcome::known;
+  if (records_.size() - fences_ >= limits_.max_names) {
+    return begin_outcome::full;
+  }
   return begin_outcome::accepted;
 }
 
+start_table::begin_outcome start_table::Begin(const task_name& name,
+                                              owner_epoch epoch) {
+  const begin_outcome outcome = Check(name, epoch);
+  if (outcome != begin_outcome::accepted) return outcome;
+  Insert(name, task_state::running);
+  ++running_;
+  return outcome;
+}
+
+start_table::record& start_table::Insert(const task_name& name,
+                                         task_state state) {
+  record& entry = records_[name];
+  entry.state = state;
+  submissions_[name.submission].insert(name.index);
+  return entry;
+}
+
+bool start_table::Superseded(const uuid& submission, owner_epoch epoch) const {
+  const auto fence = epochs_.find(submission);
+  return fence != epochs_.end() && epoch < fence->second.minimum;
+}
+
 void start_table::End(const answer_message& answer) {
   const auto position = records_.find(answer.name);
   if (position == records_.end()) return;
   record& entry = position->second;
   if (entry.state != task_state::running) return;
   --running_;
+  // Keep first: Erase expects a position in the list of expiries.
+  Keep(answer.name, entry);
+  entry.state = task_state::ended;
   if (answer.outcome == start_outcome::refused ||
       answer.outcome == start_outcome::not_sent) {
     Erase(position);
     return;
   }
-  entry.state = task_state::ended;
   entry.answer = answer;
   entry.answer.next_grant.reset();
+  if (answer.body.empty()) return;
   answer_bytes_ += answer.body.size();
-  Keep(answer.name, entry);
+  entry.stored = stored_.insert(stored_.end(), answer.name);
   DropOldestAnswers();
 }
 
 void start_table::Keep(const task_name& name, record& entry) {
   entry.changed = clock_.SteadyNow();
-  expiries_.push_back({entry.changed + limits_.retention, name});
+  entry.expiry = expiries_.insert(expiries_.end(), name);
+}
+
+bool start_table::MayHaveExpired(const uuid& submission) const {
+  return submission.IsV7() && clock_.WallNow() - submission.Timestamp() >=
+                                  limits_.retention - limits_.age_margin;
 }
 
 task_report start_table::Report(const task_name& name, bool fence) {
@@ -57,12 +86,15 @@
     }
     return report;
   }
-  report.state = fence ? task_state::fenced : task_state::never;
-  if (fence) {
-    record& entry = records_[name];
-    entry.state = task_state::fenced;
-    submissions_[name.submission].push_back(name.index);
-    Keep(name, entry);
+  const bool full = fence && fences_ >= limits_.max_fences;
+  if (full || MayHaveExpired(name.submission)) {
+    report.state = task_state::unknown;
+  } else if (!fence) {
+    report.state = task_state::never;
+  } else {
+    report.state = task_state::fenced;
+    ++fences_;
+    Keep(name, Insert(name, task_state::fenced));
   }
   return report;
 }
@@ -70,8 +102,8 @@
 std::vector<task_report> start_table::Answer(const query_message& query) {
   const bool other_incarnation = query.incarnation != incarnation_id() &&
                                  query.incarnation != incarnation_;
+  if (query.submission) return AnswerSubmission(query, other_incarnation);
   std::vector<task_report> reports;
-  if (query.submission) return AnswerSubmission(query);
   reports.reserve(query.names.size());
   for (const task_name& name : query.names) {
     if (other_incarnation) {
@@ -84,70 +116,110 @@
 }
 
 std::vector<task_report> start_table::AnswerSubmission(
-    const query_message& query) {
+    const query_message& query, bool other_incarnation) {
   std::vector<task_report> reports;
   const uuid& submission = *query.submission;
-  if (query.fence) {
-    owner_epoch& minimum = min_epochs_[submission];
-    minimum = std::max(minimum, query.epoch);
-    for (std::uint32_t index = 0; index < query.task_count; ++index) {
-      reports.push_back(Report({submission, index}, true));
+  const std::uint32_t count = std::min(query.task_count, kMaxQueryTasks);
+  const bool fenced = !other_incarnation && query.fence &&
+                      FenceSubmission(submission, query.epoch);
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const task_name name{submission, index};
+    const bool absent = records_.count(name) == 0;
+    if (other_incarnation || (absent && query.fence && !fenced)) {
+      reports.push_back({name, task_state::unknown, {}});
+    } else {
+      reports.push_back(Report(name, query.fence));
     }
-    return reports;
   }
   const auto known = submissions_.find(submission);
-  if (known == submissions_.end()) return reports;
-  for (const std::uint32_t index : known->second) {
-    reports.push_back(Report({submission, index}, false));
+  if (known == submissions_.end() || other_incarnation) return reports;
+  for (auto index = known->second.lower_bound(count);
+       index != known->second.end(); ++index) {
+    reports.push_back(Report({submission, *index}, false));
   }
   return reports;
 }
 
+bool start_table::FenceSubmission(const uuid& submission, owner_epoch epoch) {
+  auto position = epochs_.find(submission);
+  if (position == epochs_.end()) {
+    if (epochs_.size() >= limits_.max_fences) return false;
+    position = epochs_.try_emplace(submission).first;
+  } else {
+    epoch_expiries_.erase(position->second.expiry);
+  }
+  epoch_fence& fence = position->second;
+  fence.minimum = std::max(fence.minimum, epoch);
+  fence.changed = clock_.SteadyNow();
+  fence.expiry = epoch_expiries_.insert(epoch_expiries_.end(), submission);
+  return true;
+}
+
 void start_table::Forget(const std::vector<task_name>& names) {
   for (const task_name& name : names) {
     const auto position = records_.find(name);
-    if (position != records_.end() &&
-        position->second.state == task_state::ended) {
-      Erase(position);
+    if (position == records_.end()) continue;
+    record& entry = position->second;
+    if (entry.forgotten || entry.state == task_state::running ||
+        entry.state == task_state::fenced) {
+      continue;
     }
+    DropBody(entry);
+    entry.state = task_state::unknown;
+    entry.forgotten = true;
+    entry.changed = clock_.SteadyNow();
+    forgotten_.splice(forgotten_.end(), expiries_, entry.expiry);
   }
 }
 
-void start_table::Erase(
-    std::unordered_map<task_name, record>::iterator position) {
+void start_table::DropBody(record& entry) {
+  if (entry.answer.body.empty()) return;
+  answer_bytes_ -= entry.answer.body.size();
+  stored_.erase(entry.stored);
+  entry.answer.body = std::string();
+}
+
+void start_table::Erase(record_map::iterator position) {
   const task_name name = position->first;
-  answer_bytes_ -= position->second.answer.body.size();
+  record& entry = position->second;
+  DropBody(entry);
+  if (entry.state == task_state::fenced) --fences_;
+  (entry.forgotten ? forgotten_ : expiries_).erase(entry.expiry);
   records_.erase(position);
   const auto submission = submissions_.find(name.submission);
-  std::erase(submission->second, name.index);
-  if (!submission->second.empty()) return;
-  submissions_.erase(submission);
-  min_epochs_.erase(name.submission);
+  submission->second.erase(name.index);
+  if (submission->second.empty()) submissions_.erase(submission);
 }
 
 void start_table::Expire() {
+  ExpireNames(expiries_, limits_.retention);
+  ExpireNames(forgotten_, limits_.forgotten_retention);
   const steady_time now = clock_.SteadyNow();
-  while (!expiries_.empty() && expiries_.front().time <= now) {
-    const auto position = records_.find(expiries_.front().name);
-    expiries_.pop_front();
-    // The name may have been forgotten and used again since.
-    if (position == records_.end()) continue;
-    const record& entry = position->second;
-    if (entry.state == task_state::running) continue;
-    if (entry.changed + limits_.retention <= now) Erase(position);
+  while (!epoch_expiries_.empty()) {
+    const auto position = epochs_.find(epoch_expiries_.front());
+    if (now - position->second.changed < limits_.retention) return;
+    epochs_.erase(position);
+    epoch_expiries_.pop_front();
+  }
+}
+
+void start_table::ExpireNames(name_list& names, duration retention) {
+  const steady_time now = clock_.SteadyNow();
+  while (!names.empty()) {
+    const auto position = records_.find(names.front());
+    if (now - position->second.changed < retention) return;
+    Erase(position);
   }
 }
 
 void start_table::DropOldestAnswers() {
-  for (const expiry& oldest : expiries_) {
-    if (answer_bytes_ <= limits_.max_answer_bytes) return;
-    const auto position = records_.find(oldest.name);
-    if (position == records_.end()) continue;
-    record& entry = position->second;
-    if (entry.state != task_state::ended || entry.answer.body.empty()) continue;
-    answer_bytes_ -= entry.answer.body.size();
-    entry.answer.body.clear();
-    entry.state = task_state::unknown;
+  while (answer_bytes_ > limits_.max_answer_bytes && !stored_.empty()) {
+    record& entry = records_.at(stored_.front());
+    DropBody(entry);
+    // A failure is told by its status; only a result needs its body.
+    if (entry.answer.outcome == start_outcome::done) {
+      entry.state = task_state::unknown;
+    }
   }
 }
 
--- /dev/null
+++ b/src/libalmond/processes/agent_entry_links.cc
@@ -0,0 +1,77 @@
+#include "libalmond/processes/agent_entry_links.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libalmond/core/logging.h"
+#include "libalmond/wire/dispatch_codec.h"
+
+namespace almond {
+
+void agent_entry_links::SetEntries(const std::vector<socket_address>& entries) {
+  for (auto position = entries_.begin(); position != entries_.end();) {
+    if (std::find(entries.begin(), entries.end(), position->first) !=
+        entries.end()) {
+      ++position;
+      continue;
+    }
+    LOG(INFO) << "entry " << position->first.ToString()
+              << " is no longer listed";
+    EndLink(position->second);
+    position = entries_.erase(position);
+  }
+  for (const socket_address& address : entries) {
+    if (entries_.count(address) == 0) Dial(address);
+  }
+}
+
+void agent_entry_links::Dial(const socket_address& address) {
+  peer_dialer::hooks callbacks;
+  callbacks.on_connected = [this, address] { OnConnected(address); };
+  callbacks.on_frame = [this, address](const frame& encoded) {
+    OnFrame(address, encoded);
+  };
+  callbacks.on_closed = [this, address](const std::string& reason) {
+    OnClosed(address, reason);
+  };
+  entries_[address].dialer = std::make_unique<peer_dialer>(
+      loop_, clock_, address, std::move(callbacks));
+}
+
+void agent_entry_links::OnConnected(const socket_address& address) {
+  LOG(INFO) << "connected to entry " << address.ToString();
+  entry_connection& connection = entries_.at(address);
+  last_link_ = last_link_.Next();
+  connection.link = last_link_;
+  by_link_[connection.link] = connection.dialer.get();
+  hooks_.on_connected(connection.link);
+}
+
+void agent_entry_links::OnFrame(const socket_address& address,
+                                const frame& encoded) {
+  const auto message = DecodeEntryMessage(encoded);
+  if (!message) {
+    metrics_.Counter("almond_bad_frames_total").Add();
+    return;
+  }
+  hooks_.on_message(entries_.at(address).link, *message);
+}
+
+void agent_entry_links::OnClosed(const socket_address& address,
+                                 const std::string& reason) {
+  LOG(INFO) << "connection to entry " << address.ToString()
+            << " ended: " << reason;
+  EndLink(entries_.at(address));
+}
+
+void agent_entry_links::EndLink(entry_connection& connection) {
+  const link_id link = std::exchange(connection.link, link_id());
+  if (by_link_.erase(link) > 0) hooks_.on_closed(link);
+}
+
+void agent_entry_links::Send(link_id link, const agent_message& message) {
+  const auto found = by_link_.find(link);
+  if (found != by_link_.end()) found->second->Send(EncodeAgentMessage(message));
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/agent_entry_links.h
@@ -0,0 +1,64 @@
+#ifndef ALMOND_PROCESSES_AGENT_ENTRY_LINKS_H_
+#define ALMOND_PROCESSES_AGENT_ENTRY_LINKS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libalmond/core/dispatch_messages.h"
+#include "libalmond/core/metrics.h"
+#include "libalmond/net/peer_dialer.h"
+
+namespace almond {
+
+/// An agent's connections to its entries. Each connection has its own id, so
+/// that messages for an older connection to the same entry are dropped.
+class agent_entry_links {
+ public:
+  struct hooks {
+    std::function<void(link_id)> on_connected;
+    std::function<void(link_id)> on_closed;
+    std::function<void(link_id, const entry_message&)> on_message;
+  };
+
+  agent_entry_links(event_loop& loop, const clock_interface& clock,
+                    metrics_registry& metrics, hooks callbacks)
+      : loop_(loop),
+        clock_(clock),
+        metrics_(metrics),
+        hooks_(std::move(callbacks)) {}
+
+  /// Dials exactly these entries; closes the connections to others.
+  void SetEntries(const std::vector<socket_address>& entries);
+  /// Sends a message; dropped if that connection has ended.
+  void Send(link_id link, const agent_message& message);
+  /// @returns number of established connections
+  std::size_t Connected() const { return by_link_.size(); }
+
+ private:
+  struct entry_connection {
+    link_id link;  ///< changes with each connection; 0 while there is none
+    std::unique_ptr<peer_dialer> dialer;
+  };
+
+  void Dial(const socket_address& address);
+  void OnConnected(const socket_address& address);
+  void OnFrame(const socket_address& address, const frame& encoded);
+  void OnClosed(const socket_address& address, const std::string& reason);
+  void EndLink(entry_connection& connection);
+
+  event_loop& loop_;
+  const clock_interface& clock_;
+  metrics_registry& metrics_;
+  hooks hooks_;
+  std::map<socket_address, entry_connection> entries_;
+  std::unordered_map<link_id, peer_dialer*> by_link_;
+  link_id last_link_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_AGENT_ENTRY_LINKS_H_
--- a/src/libalmond/processes/agent_process.h
+++ b/src/libalmond/processes/agent_process.h
@@ -2,20 +2,17 @@
 #define ALMOND_PROCESSES_AGENT_PROCESS_H_
 
 #include <functional>
-#include <map>
-#include <memory>
-#include <optional>
 #include <string>
+#include <vector>
 
-#include "libalmond/controllers/agent/endpoint_announcement.h"
-#include "libalmond/controllers/agent/slot_controller.h"
-#include "libalmond/controllers/agent/start_table.h"
+#include "libalmond/controllers/agent/agent_controller.h"
 #include "libalmond/core/dispatch_messages.h"
 #include "libalmond/core/metrics.h"
 #include "libalmond/net/event_loop.h"
-#include "libalmond/net/http_client.h"
 #include "libalmond/net/http_server.h"
-#include "libalmond/net/peer_dialer.h"
+#include "libalmond/processes/agent_entry_links.h"
+#include "libalmond/processes/agent_http.h"
+#include "libalmond/processes/endpoint_link.h"
 
 namespace almond {
 
@@ -26,22 +23,47 @@
   socket_address listen_http;
   /// Entries to dial besides those of the directory.
   std::vector<socket_address> entries;
+  /// Control processes, for the client that is wired to SetEntries.
+  std::vector<socket_address> control = {};
 };
 
-/// The agent beside one endpoint: wires the start table and the slot
-/// controller to the entries' links and to the endpoint.
+/// What an agent asks of, and tells to, the holder of its configuration. Each
+/// may be left as it is.
+struct agent_config_hooks {
+  /// @returns the version in force, for announcements
+  std::function<config_version()> version = [] { return config_version(); };
+  /// @returns run time from which a task of that service may be paused
+  std::function<std::optional<milliseconds>(const service_id&)> suspend_after =
+      [](const service_id& /*service*/) {
+        return std::optional<milliseconds>(suspension_policy::kSuspendAfter);
+      };
+  /// @returns JSON for GET /v1/config, or an empty text without configuration
+  std::function<std::string()> document = [] { return std::string(); };
+  /// An entry tells its version.
+  std::function<void(link_id, const entry_hello_message&)> on_hello =
+      [](link_id, const entry_hello_message&) {};
+  /// An entry asks for the configuration.
+  std::function<void(link_id)> on_config_request = [](link_id) {};
+  /// An entry sends its configuration.
+  std::function<void(link_id, const config_snapshot_message&)>
+      on_config_snapshot = [](link_id, const config_snapshot_message&) {};
+};
+
+/// The agent beside one endpoint: wires the agent's decisions to the entries'
+/// links, to the endpoint and to the HTTP server.
 class agent_process {
  public:
   static constexpr milliseconds kTickPeriod{100};
   static constexpr milliseconds kAnnouncePeriod{1000};
-  /// An endpoint that is not announced for so long counts as gone.
-  static constexpr milliseconds kEndpointTimeout{3000};
-  /// Added to the caller's time left as limit for the endpoint's answer.
-  static constexpr milliseconds kAnswerGrace{60000};
 
   agent_process(event_loop& loop, const clock_interface& clock,
                 agent_settings settings);
 
+  /// Replaces the hooks of the configuration; to be called before Start.
+  void SetConfigHooks(agent_config_hooks callbacks) {
+    config_ = std::move(callbacks);
+  }
+
   /// Binds the HTTP port and dials the entries.
   /// @returns false if the port cannot be bound
   bool Start();
@@ -50,60 +72,38 @@
   /// @param on_drained called when no task runs and no grant can still arrive
   void Leave(std::function<void()> on_drained);
 
-  /// Dials exactly these entries, as listed by the directory or the settings.
+  /// Dials exactly these entries, besides those of the settings.
+  /// @param entries addresses that the directory lists
   void SetEntries(const std::vector<socket_address>& entries);
+  /// Sends a message to an entry; dropped if the connection has ended.
+  void SendToEntry(link_id link, const agent_message& message) {
+    links_.Send(link, message);
+  }
 
   const socket_address& HttpAddress() const { return http_.Address(); }
   incarnation_id Incarnation() const { return incarnation_; }
+  metrics_registry& Metrics() { return metrics_; }
+  const agent_controller& Controller() const { return controller_; }
 
  private:
-  struct entry_connection {
-    link_id link;  ///< changes with each connection
-    std::unique_ptr<peer_dialer> dialer;
-  };
-
-  void OnHttp(const http_request& request,
-              const http_server::responder& respond);
-  http_response PutEndpoint(const http_request& request);
+  agent_controller::hooks ControllerHooks();
+  void OnMessage(link_id link, const entry_message& message);
   void Tick();
-  void CheckDrained();
-  void UpdateSlots();
-
-  void Dial(const socket_address& address);
-  void OnConnected(const socket_address& address);
-  void OnClosed(const socket_address& address);
-  void OnFrame(const socket_address& address, const frame& encoded);
-  void OnMessage(entry_connection& from, const entry_message& message);
-  void OnStart(entry_connection& from, const start_message& start);
-  void OnQuery(entry_connection& from, const query_message& query);
-  void OnCancel(const cancel_message& cancel);
-  void StartOnEndpoint(const start_message& start);
-  void OnEndpointAnswer(const task_name& name, steady_time started,
-                        const http_call_result& result);
-  void End(answer_message answer);
-  void Allocate();
-  void Announce();
-  void Send(link_id link, const agent_message& message);
 
   event_loop& loop_;
-  const clock_interface& clock_;
   agent_settings settings_;
   incarnation_id incarnation_;
   metrics_registry metrics_;
-  start_table starts_;
-  slot_controller slots_;
+  agent_config_hooks config_;
+  agent_entry_links links_;
+  endpoint_link endpoint_;
+  agent_controller controller_;
+  agent_http front_;
   http_server http_;
-  std::optional<endpoint_announcement> endpoint_;
-  steady_time last_announcement_;
-  bool leaving_ = false;
   std::function<void()> on_drained_;
-  steady_time leave_time_;
-  std::map<socket_address, entry_connection> entries_;
-  /// Connection that each running task's answer goes to.
-  std::unordered_map<task_name, link_id> origins_;
-  link_id last_link_;
   event_handle tick_timer_;
   event_handle announce_timer_;
+  event_handle flush_timer_;
 };
 
 }  // namespace almond
--- a/src/libalmond/processes/endpoint_codec.cc
+++ b/src/libalmond/processes/endpoint_codec.cc
@@ -1,6 +1,7 @@
 #include "libalmond/processes/endpoint_codec.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
 
 namespace almond {
@@ -9,69 +10,117 @@
 using nlohmann::json;
 
 constexpr std::uint32_t kMaxSlots = 4096;
+constexpr std::size_t kMaxServiceLength = 128;
 constexpr std::string_view kUrlPrefix = "http://";
 
-bool ReadCount(const json& object, const char* key, std::uint32_t maximum,
-               std::uint32_t& value) {
-  if (!object.contains(key)) return true;
-  const json& field = object[key];
-  if (!field.is_number_unsigned()) return false;
-  const auto number = field.get<std::uint64_t>();
-  if (number > maximum) return false;
-  value = static_cast<std::uint32_t>(number);
-  return true;
-}
+/// Reads the fields of one announcement; remembers the first fault.
+class announcement_reader {
+ public:
+  explicit announcement_reader(const json& object) : object_(object) {}
 
-std::optional<socket_address> ParseUrl(const json& object) {
-  if (!object.contains("url") || !object["url"].is_string()) {
-    return std::nullopt;
+  service_id Service() {
+    std::string name = Text("service");
+    if (name.empty() || name.size() > kMaxServiceLength) {
+      Fail("service: expected a text of 1 to 128 bytes");
+    }
+    return service_id(std::move(name));
   }
-  std::string url = object["url"].get<std::string>();
-  if (url.rfind(kUrlPrefix, 0) != 0) return std::nullopt;
-  url.erase(0, kUrlPrefix.size());
-  if (!url.empty() && url.back() == '/') url.pop_back();
-  return socket_address::Parse(url);
-}
 
-bool ReadControls(const json& object, endpoint_controls& controls) {
-  if (!object.contains("controls")) return true;
-  if (!object["controls"].is_array()) return false;
-  bool resume = false;
-  bool pause = false;
-  for (const json& control : object["controls"]) {
-    if (!control.is_string()) return false;
-    const auto name = control.get<std::string>();
-    if (name == "pause") pause = true;
-    if (name == "resume") resume = true;
-    if (name == "checkpoint") controls.checkpoint = true;
-    if (name == "stop") controls.stop = true;
+  socket_address Url() {
+    std::string url = Text("url");
+    std::optional<socket_address> address;
+    if (url.rfind(kUrlPrefix, 0) == 0) {
+      url.erase(0, kUrlPrefix.size());
+      if (!url.empty() && url.back() == '/') url.pop_back();
+      address = socket_address::Parse(url);
+    }
+    if (!address || address->port == 0) {
+      Fail("url: expected http://IP:PORT");
+      return {};
+    }
+    return *address;
   }
-  controls.pause = pause && resume;
-  return true;
-}
+
+  std::uint32_t Slots() {
+    if (!object_.contains("slots")) Fail("slots: missing");
+    const std::uint32_t slots = Count("slots", kMaxSlots);
+    if (slots == 0) Fail("slots: expected a whole number from 1 to 4096");
+    return slots;
+  }
+
+  std::uint32_t Count(const std::string& key, std::uint32_t maximum) {
+    if (!object_.contains(key)) return 0;
+    const json& field = object_[key];
+    if (!field.is_number_unsigned() || field.get<std::uint64_t>() > maximum) {
+      Fail(key + ": expected a whole number up to " + std::to_string(maximum));
+      return 0;
+    }
+    return field.get<std::uint32_t>();
+  }
+
+  endpoint_controls Controls() {
+    endpoint_controls controls;
+    if (!object_.contains("controls")) return controls;
+    const json& list = object_["controls"];
+    if (!list.is_array()) {
+      Fail("controls: expected a list of texts");
+      return controls;
+    }
+    bool pause = false;
+    bool resume = false;
+    for (const json& item : list) {
+      const std::string name =
+          item.is_string() ? item.get<std::string>() : std::string();
+      pause = pause || name == "pause";
+      resume = resume || name == "resume";
+      controls.checkpoint = controls.checkpoint || name == "checkpoint";
+      controls.stop = controls.stop || name == "stop";
+      if (name != "pause" && name != "resume" && name != "checkpoint" &&
+          name != "stop") {
+        Fail("controls: expected only pause, resume, checkpoint and stop");
+      }
+    }
+    // A task that could not be resumed must not be paused.
+    controls.pause = pause && resume;
+    return controls;
+  }
+
+  const std::string& Fault() const { return fault_; }
+
+ private:
+  std::string Text(const char* key) const {
+    if (!object_.contains(key) || !object_[key].is_string()) return {};
+    return object_[key].get<std::string>();
+  }
+  void Fail(const std::string& fault) {
+    if (fault_.empty()) fault_ = fault;
+  }
+
+  const json& object_;
+  std::string fault_;
+};
 
 }  // namespace
 
-std::optional<endpoint_announcement> ParseEndpointAnnouncement(
+std::variant<endpoint_announcement, refusal> ParseEndpointAnnouncement(
     const std::string& body) {
   const json object = json::parse(body, nullptr, /*allow_exceptions=*/false);
-  if (!object.is_object()) return std::nullopt;
-  endpoint_announcement result;
-  if (!object.contains("service") || !object["service"].is_string()) {
-    return std::nullopt;
+  if (!object.is_object()) {
+    return refusal{refusal_reason::bad_json, run_outcome::not_run,
+                   "body: expected a JSON object"};
   }
-  result.service = service_id(object["service"].get<std::string>());
-  const auto address = ParseUrl(object);
-  if (!address) return std::nullopt;
-  result.address = *address;
-  constexpr std::uint32_t kAny = UINT32_MAX;
-  if (!ReadCount(object, "slots", kMaxSlots, result.slots) ||
-      !ReadCount(object, "cpu_milli", kAny, result.cpu_milli) ||
-      !ReadCount(object, "memory_mib", kAny, result.memory_mib) ||
-      !ReadControls(object, result.controls)) {
-    return std::nullopt;
+  announcement_reader reader(object);
+  endpoint_announcement result;
+  result.service = reader.Service();
+  result.address = reader.Url();
+  result.slots = reader.Slots();
+  result.cpu_milli = reader.Count("cpu_milli", INT32_MAX);
+  result.memory_mib = reader.Count("memory_mib", INT32_MAX);
+  result.controls = reader.Controls();
+  if (!reader.Fault().empty()) {
+    return refusal{refusal_reason::bad_request, run_outcome::not_run,
+                   reader.Fault()};
   }
-  if (result.service.Empty() || result.slots == 0) return std::nullopt;
   return result;
 }
 
@@ -93,4 +142,24 @@
   return start_outcome::failed;
 }
 
+control_result ControlResult(task_control control,
+                             const http_call_result& result) {
+  const bool resume = control == task_control::resume;
+  if (result.outcome == http_call_outcome::not_sent) {
+    // The task is unchanged: still running, or for a resume still paused.
+    return resume ? control_result::failed : control_result::rejected;
+  }
+  if (result.outcome == http_call_outcome::lost) return control_result::failed;
+  const int status = result.response.status;
+  if (status >= 200 && status < 300) return control_result::done;
+  // 404 and 409 say that the task is not there or not in that state.
+  if (resume) {
+    return status == 404 || status == 409 ? control_result::rejected
+                                          : control_result::failed;
+  }
+  return (status >= 400 && status < 500) || status == 501 || status == 503
+             ? control_result::rejected
+             : control_result::failed;
+}
+
 }  // namespace almond
--- a/src/libalmond/processes/endpoint_codec.h
+++ b/src/libalmond/processes/endpoint_codec.h
@@ -1,24 +1,31 @@
 #ifndef ALMOND_PROCESSES_ENDPOINT_CODEC_H_
 #define ALMOND_PROCESSES_ENDPOINT_CODEC_H_
 
-#include <optional>
 #include <string>
+#include <variant>
 
 #include "libalmond/controllers/agent/endpoint_announcement.h"
+#include "libalmond/controllers/agent/task_control.h"
 #include "libalmond/net/http_client.h"
 
 namespace almond {
 
 /// @param body JSON of PUT /v1/endpoint
-/// @returns the announcement, or nothing if a field is missing, has the wrong
-///   type or is out of bounds
-std::optional<endpoint_announcement> ParseEndpointAnnouncement(
+/// @returns the announcement, or the refusal with the field at fault and what
+///   was expected
+std::variant<endpoint_announcement, refusal> ParseEndpointAnnouncement(
     const std::string& body);
 
 /// @param result how the HTTP request of a start ended
 /// @returns what it says about the task
 start_outcome StartOutcome(const http_call_result& result);
 
+/// @param control the request
+/// @param result how its HTTP request ended
+/// @returns what it says about the task
+control_result ControlResult(task_control control,
+                             const http_call_result& result);
+
 }  // namespace almond
 
 #endif  // ALMOND_PROCESSES_ENDPOINT_CODEC_H_
