Add the program almond-agentd

Cause: The agent had no program.

Change: A thin main with gflags. Settings are checked before anything starts. SIGTERM leaves and waits for the running tasks; a second signal or the drain timeout logs the number of tasks abandoned and exits 1.

Before: No program.

--- /dev/null
+++ b/src/agentd/main.cc
@@ -0,0 +1,136 @@
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "libalmond/core/logging.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/processes/agent_process.h"
+
+DEFINE_string(id, "", "Name of this agent, unique among all agents; required.");
+DEFINE_string(data_centre, "",
+              "Data centre that this agent stands in; required.");
+DEFINE_string(listen_http, "127.0.0.1:7100",
+              "Address IP:PORT of the HTTP server for the endpoint and for "
+              "operators; port 0 takes a free one.");
+DEFINE_string(entries, "",
+              "Addresses IP:PORT of entries to connect to, besides those of "
+              "the directory; separated by commas.");
+DEFINE_string(control, "",
+              "Addresses IP:PORT of the control processes, separated by "
+              "commas.");
+DEFINE_int32(drain_timeout, 120,
+             "Longest time for running tasks to finish after SIGTERM, in "
+             "seconds, 1 to 86400.");
+
+DECLARE_bool(help);
+
+namespace almond {
+namespace {
+
+/// Prints what is wrong with a setting.
+/// @returns the exit code for a wrong setting
+int Wrong(const std::string& message) {
+  std::cerr << "almond-agentd: " << message << "\n";
+  return EXIT_FAILURE;
+}
+
+/// Ends the process by the signals SIGTERM and SIGINT.
+class shutdown {
+ public:
+  shutdown(event_loop& loop, agent_process& agent)
+      : loop_(loop), agent_(agent) {
+    terminate_ = loop_.OnSignal(SIGTERM, [this] { OnSignal(); });
+    interrupt_ = loop_.OnSignal(SIGINT, [this] { OnSignal(); });
+  }
+  int ExitCode() const { return exit_code_; }
+
+ private:
+  void OnSignal() {
+    if (leaving_) {
+      Abandon("second signal");
+      return;
+    }
+    leaving_ = true;
+    agent_.Leave([this] {
+      LOG(INFO) << "left, all tasks have finished";
+      loop_.Stop();
+    });
+    limit_ = loop_.After(std::chrono::seconds(FLAGS_drain_timeout),
+                         [this] { Abandon("drain timeout"); });
+  }
+
+  void Abandon(const char* cause) {
+    LOG(ERROR) << cause << ": " << agent_.Controller().Running()
+               << " running tasks abandoned";
+    exit_code_ = EXIT_FAILURE;
+    loop_.Stop();
+  }
+
+  event_loop& loop_;
+  agent_process& agent_;
+  bool leaving_ = false;
+  int exit_code_ = EXIT_SUCCESS;
+  event_handle terminate_;
+  event_handle interrupt_;
+  event_handle limit_;
+};
+
+int RunAgent() {
+  if (FLAGS_id.empty()) return Wrong("--id is required");
+  if (FLAGS_data_centre.empty()) return Wrong("--data_centre is required");
+  const auto listen = socket_address::Parse(FLAGS_listen_http);
+  if (!listen) {
+    return Wrong("--listen_http: expected IP:PORT, got \"" + FLAGS_listen_http +
+                 "\"");
+  }
+  const auto entries = socket_address::ParseList(FLAGS_entries);
+  if (!entries) {
+    return Wrong("--entries: expected a list of IP:PORT, got \"" +
+                 FLAGS_entries + "\"");
+  }
+  const auto control = socket_address::ParseList(FLAGS_control);
+  if (!control) {
+    return Wrong("--control: expected a list of IP:PORT, got \"" +
+                 FLAGS_control + "\"");
+  }
+  constexpr int kMaxDrainTimeout = 86400;
+  if (FLAGS_drain_timeout < 1 || FLAGS_drain_timeout > kMaxDrainTimeout) {
+    return Wrong("--drain_timeout: expected 1 to 86400 seconds");
+  }
+  ConfigureLogging("almond-agentd");
+  event_loop loop;
+  const system_clock clock;
+  agent_process agent(loop, clock,
+                      {agent_id(FLAGS_id), data_centre_id(FLAGS_data_centre),
+                       *listen, *entries, *control});
+  if (!agent.Start()) {
+    return Wrong("--listen_http: cannot listen on " + FLAGS_listen_http);
+  }
+  LOG(INFO) << "agent " << FLAGS_id << " listens on "
+            << agent.HttpAddress().ToString();
+  const shutdown on_signal(loop, agent);
+  loop.Run();
+  return on_signal.ExitCode();
+}
+
+}  // namespace
+}  // namespace almond
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "the agent beside one endpoint of almondproxy; settings also come from "
+      "the environment by --fromenv=NAME,... as FLAGS_NAME=value");
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  if (FLAGS_help) {
+    gflags::ShowUsageWithFlagsRestrict(argv[0], "main");
+    return EXIT_SUCCESS;
+  }
+  gflags::HandleCommandLineHelpFlags();
+  if (argc > 1) {
+    return almond::Wrong(std::string("unexpected argument \"") + argv[1] +
+                         "\"");
+  }
+  return almond::RunAgent();
+}
