Renew grants by announcements and send grants with answers

By type at 0.5: 1.88 recalls and 1.88 returns a task (an agent asked aging grants back one by one, and the entry returned its newest ones), 2.56 grants, 0.92 forgets; at 0.9: 2.90 demands (the backlog appears and vanishes many times a second). Ruled out: lost or refused starts (1.000 starts and answers a task). Change: an announcement renews all unused grants of its receiver; a freed slot goes to the entry that is being answered unless another has more than twice its unmet demand; demand is withdrawn after 200 ms without queue; forgets are collected for 1 s.

--- /dev/null
+++ b/bench/policy/fake_endpoint.h
@@ -0,0 +1,82 @@
+#ifndef ALMOND_BENCH_POLICY_FAKE_ENDPOINT_H_
+#define ALMOND_BENCH_POLICY_FAKE_ENDPOINT_H_
+
+#include <functional>
+#include <map>
+
+#include "bench/policy/virtual_time.h"
+#include "libalmond/controllers/agent/task_control.h"
+
+namespace almond::bench {
+
+/// An endpoint in virtual time that runs tasks of given lengths and can pause
+/// and resume them.
+class fake_endpoint {
+ public:
+  /// Time of a call between agent and endpoint on one machine.
+  static constexpr duration kCall = std::chrono::microseconds(100);
+
+  explicit fake_endpoint(virtual_time& time) : time_(time) {}
+
+  /// @param run names the start
+  /// @param length pure run time
+  /// @param on_end called at the end
+  void Start(run_id run, duration length, std::function<void()> on_end) {
+    time_.After(kCall, [this, run, length, on_end = std::move(on_end)] {
+      task& started = tasks_[run];
+      started.left = length;
+      started.on_end = on_end;
+      Run(run, started);
+    });
+  }
+
+  /// @param on_done called with true if the task was there
+  void Control(run_id run, task_control control,
+               std::function<void(bool)> on_done) {
+    time_.After(kCall, [this, run, control, on_done = std::move(on_done)] {
+      const auto found = tasks_.find(run);
+      if (found != tasks_.end()) Apply(run, found->second, control);
+      const bool done = found != tasks_.end();
+      time_.After(kCall, [on_done, done] { on_done(done); });
+    });
+  }
+
+ private:
+  struct task {
+    duration left{0};
+    steady_time resumed;
+    std::uint64_t stint = 0;  ///< invalidates the end event of a paused stint
+    bool running = false;
+    std::function<void()> on_end;
+  };
+
+  void Apply(run_id run, task& changed, task_control control) {
+    if (control == task_control::pause && changed.running) {
+      changed.running = false;
+      ++changed.stint;
+      changed.left -= time_.Now() - changed.resumed;
+    } else if (control == task_control::resume && !changed.running) {
+      Run(run, changed);
+    }
+  }
+
+  void Run(run_id run, task& started) {
+    started.running = true;
+    started.resumed = time_.Now();
+    const std::uint64_t stint = ++started.stint;
+    time_.After(started.left, [this, run, stint] {
+      const auto found = tasks_.find(run);
+      if (found == tasks_.end() || found->second.stint != stint) return;
+      const auto on_end = std::move(found->second.on_end);
+      tasks_.erase(found);
+      time_.After(kCall, on_end);
+    });
+  }
+
+  virtual_time& time_;
+  std::map<run_id, task> tasks_;
+};
+
+}  // namespace almond::bench
+
+#endif  // ALMOND_BENCH_POLICY_FAKE_ENDPOINT_H_
--- /dev/null
+++ b/bench/policy/main.cc
@@ -0,0 +1,155 @@
+// Measures scheduling policies in virtual time: the product's own controllers
+// against baselines, on the same arrivals.
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <string>
+
+#include "bench/policy/grant_policy.h"
+#include "bench/policy/worker_queue_policy.h"
+
+DEFINE_string(figure, "messages",
+              "figure to measure: messages, blocking or peak");
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_uint32(seconds, 120, "length of each run in seconds of virtual time");
+
+namespace almond::bench {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double kMilli = 1000;
+
+void PrintMessages() {
+  std::printf("%-6s %-22s %10s %10s %10s %10s %12s %12s\n", "load", "policy",
+              "p50 wait", "p99 wait", "p999 wait", "completed", "msgs/task",
+              "wasted/task");
+  std::printf("%-6s %-22s %10s %10s %10s %10s\n", "", "", "ms", "ms", "ms",
+              "share");
+  for (const double load : {0.5, 0.7, 0.9, 1.1}) {
+    workload_settings workload;
+    workload.seed = FLAGS_seed;
+    workload.phases = {{seconds(FLAGS_seconds), load}};
+    const system_settings system;
+    for (const run_result& run :
+         {RunWorkerQueues(worker_choice::random, system, workload),
+          RunWorkerQueues(worker_choice::power_of_two, system, workload),
+          RunGrants({}, system, workload)}) {
+      const auto tasks = static_cast<double>(run.offered);
+      std::printf("%-6.1f %-22s %10.1f %10.1f %10.1f %10.4f %12.2f %12.3f\n",
+                  load, run.policy.c_str(),
+                  Quantile(run.short_wait, 0.5) * kMilli,
+                  Quantile(run.short_wait, 0.99) * kMilli,
+                  Quantile(run.short_wait, 0.999) * kMilli,
+                  static_cast<double>(run.completed) / tasks,
+                  static_cast<double>(run.messages) / tasks,
+                  static_cast<double>(run.wasted) / tasks);
+      for (const auto& [type, count] : run.by_type) {
+        std::printf("%-6s   %-16s %8.3f per task\n", "", type.c_str(),
+                    static_cast<double>(count) / tasks);
+      }
+    }
+  }
+}
+
+void PrintBlocking() {
+  std::printf("%-5s %-6s %-7s %-6s %-20s %10s %10s %12s %10s\n", "load", "long",
+              "factor", "wrong", "policy", "p99 wait", "p999 wait",
+              "long median", "completed");
+  std::printf("%-5s %-6s %-7s %-6s %-20s %10s %10s %12s %10s\n", "", "share",
+              "", "share", "", "s", "s", "s", "share");
+  for (const double load : {0.7, 0.9, 1.1}) {
+    for (const double share : {0.01, 0.05, 0.1}) {
+      for (const double factor : {20.0, 50.0, 100.0}) {
+        for (const double wrong : {0.0, 0.3}) {
+          workload_settings workload;
+          workload.seed = FLAGS_seed;
+          // Load swings make stragglers of all lengths overlap.
+          workload.phases = {{seconds(FLAGS_seconds) * 5, load}};
+          workload.long_share = share;
+          workload.long_factor = factor;
+          workload.wrong_share = wrong;
+          workload.timeout = milliseconds(600'000);
+          const system_settings system;
+          for (const run_result& run :
+               {RunGrants({std::nullopt, false}, system, workload),
+                RunGrants({milliseconds(2000), false}, system, workload)}) {
+            std::printf(
+                "%-5.1f %-6.2f %-7.0f %-6.1f %-20s %10.2f %10.2f %12.2f "
+                "%10.4f\n",
+                load, share, factor, wrong, run.policy.c_str(),
+                Quantile(run.short_wait, 0.99), Quantile(run.short_wait, 0.999),
+                Quantile(run.long_response, 0.5),
+                static_cast<double>(run.completed) /
+                    static_cast<double>(run.offered));
+          }
+        }
+      }
+    }
+  }
+}
+
+std::uint64_t Sum(const std::vector<std::uint64_t>& values, std::size_t begin,
+                  std::size_t end) {
+  std::uint64_t sum = 0;
+  for (std::size_t i = begin; i < end && i < values.size(); ++i) {
+    sum += values[i];
+  }
+  return sum;
+}
+
+void PrintPeak() {
+  std::printf("constant load, deadline 5 s\n");
+  std::printf("%-6s %-26s %12s %14s %14s\n", "load", "policy", "goodput /s",
+              "refusal p99 ms", "response ratio");
+  for (const double load : {0.5, 1.0, 2.0, 3.0}) {
+    workload_settings workload;
+    workload.seed = FLAGS_seed;
+    workload.phases = {{seconds(FLAGS_seconds), load}};
+    const system_settings system;
+    for (const run_result& run :
+         {RunWorkerQueues(worker_choice::power_of_two, system, workload),
+          RunGrants({std::nullopt, false}, system, workload),
+          RunGrants({}, system, workload)}) {
+      std::printf("%-6.1f %-26s %12.1f %14.1f %14.2f\n", load,
+                  run.policy.c_str(),
+                  static_cast<double>(run.completed) / FLAGS_seconds,
+                  Quantile(run.refusal_delay, 0.99) * kMilli,
+                  Quantile(run.ratio, 0.99));
+    }
+  }
+  std::printf("\nstep from 0.3 to 3 and back: goodput per second\n");
+  workload_settings workload;
+  workload.seed = FLAGS_seed;
+  workload.phases = {
+      {seconds(10), 0.3}, {seconds(10), 3.0}, {seconds(10), 0.3}};
+  const run_result run = RunGrants({}, {}, workload);
+  for (std::size_t second = 0; second < run.goodput.size(); ++second) {
+    std::printf("%3zu s %6llu\n", second,
+                static_cast<unsigned long long>(run.goodput[second]));
+  }
+  std::printf("during the step: %llu, refused %llu of %llu\n",
+              static_cast<unsigned long long>(Sum(run.goodput, 10, 20)),
+              static_cast<unsigned long long>(run.refused),
+              static_cast<unsigned long long>(run.offered));
+}
+
+}  // namespace
+}  // namespace almond::bench
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("measures scheduling policies in virtual time");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_figure == "messages") {
+    almond::bench::PrintMessages();
+  } else if (FLAGS_figure == "blocking") {
+    almond::bench::PrintBlocking();
+  } else if (FLAGS_figure == "peak") {
+    almond::bench::PrintPeak();
+  } else {
+    std::fprintf(stderr, "unknown figure %s\n", FLAGS_figure.c_str());
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/policy/run_result.h
@@ -0,0 +1,46 @@
+#ifndef ALMOND_BENCH_POLICY_RUN_RESULT_H_
+#define ALMOND_BENCH_POLICY_RUN_RESULT_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libalmond/core/clock.h"
+
+namespace almond::bench {
+
+/// What one policy did with one workload.
+struct run_result {
+  std::string policy;
+  std::uint64_t offered = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t refused = 0;   ///< not run, before the deadline
+  std::uint64_t late = 0;      ///< ended after the deadline, or not at all
+  std::uint64_t messages = 0;  ///< between entries and agents
+  /// Messages by type, of the product's own protocol.
+  std::map<std::string, std::uint64_t> by_type;
+  std::uint64_t wasted = 0;        ///< probes, refused starts, returned grants
+  std::vector<double> short_wait;  ///< seconds until the start
+  std::vector<double> long_response;  ///< seconds until the end
+  std::vector<double> ratio;          ///< response over run time
+  std::vector<double> refusal_delay;  ///< seconds until a refusal
+  /// Tasks completed in time per second of the run.
+  std::vector<std::uint64_t> goodput;
+};
+
+/// @param values any order
+/// @param share quantile from 0 to 1
+/// @returns the quantile, 0 without values
+inline double Quantile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  const auto position = static_cast<std::ptrdiff_t>(
+      share * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + position, values.end());
+  return values[static_cast<std::size_t>(position)];
+}
+
+}  // namespace almond::bench
+
+#endif  // ALMOND_BENCH_POLICY_RUN_RESULT_H_
--- /dev/null
+++ b/bench/policy/worker_queue_policy.h
@@ -0,0 +1,32 @@
+#ifndef ALMOND_BENCH_POLICY_WORKER_QUEUE_POLICY_H_
+#define ALMOND_BENCH_POLICY_WORKER_QUEUE_POLICY_H_
+
+#include <vector>
+
+#include "bench/policy/run_result.h"
+#include "bench/policy/workload.h"
+
+namespace almond::bench {
+
+/// Sizes of the system that a policy is measured on.
+struct system_settings {
+  std::uint32_t entries = 3;
+  std::uint32_t agents = 11;
+  std::uint32_t slots_per_agent = 8;
+  duration one_way = std::chrono::microseconds(1500);
+};
+
+/// Baselines: the entry chooses a worker at once, and the task waits in that
+/// worker's queue.
+enum class worker_choice {
+  random,       ///< any worker
+  power_of_two  ///< the shorter queue of two workers that are probed
+};
+
+/// Runs a workload under a baseline.
+run_result RunWorkerQueues(worker_choice choice, const system_settings& system,
+                           const workload_settings& workload);
+
+}  // namespace almond::bench
+
+#endif  // ALMOND_BENCH_POLICY_WORKER_QUEUE_POLICY_H_
--- a/src/libalmond/controllers/agent/agent_controller.cc
+++ b/src/libalmond/controllers/agent/agent_controller.cc
@@ -326,6 +326,7 @@
 
 void agent_controller::Announce() {
   const announce_message message = Announcement();
+  if (!message.leaving) slots_.RenewLeases();
   // A copy, since a failing send may end its connection.
   const std::set<link_id> links = links_;
   for (const link_id link : links) hooks_.send(link, message);
@@ -348,8 +349,11 @@
     }
   }
   const bool full = suspension_.Exhausted();
-  slot_controller::actions actions =
-      slots_.Allocate(full ? 0 : UINT32_MAX, suspension_.WantedSlots());
+  std::vector<link_id> answered;
+  answered.reserve(answers_.size());
+  for (const auto& [link, answer] : answers_) answered.push_back(link);
+  slot_controller::actions actions = slots_.Allocate(
+      answered, full ? 0 : UINT32_MAX, suspension_.WantedSlots());
   SendAnswers(actions);
   for (auto& action : actions.grants) {
     if (action.grants.empty()) continue;
--- a/src/libalmond/controllers/agent/slot_controller.cc
+++ b/src/libalmond/controllers/agent/slot_controller.cc
@@ -69,30 +69,66 @@
   return valid;
 }
 
-slot_controller::actions slot_controller::Allocate(std::uint32_t grantable,
-                                                   std::uint32_t wanted) {
+void slot_controller::RenewLeases() {
+  EndLeases();
+  if (!granting_) return;
+  const steady_time end = clock_.SteadyNow() + kLease;
+  leases_.clear();
+  for (auto& [entry, state] : entries_) {
+    for (auto& [grant, lease_end] : state.grants) {
+      lease_end = end;
+      leases_.push_back({end, entry, grant});
+    }
+  }
+}
+
+slot_controller::actions slot_controller::Allocate(
+    const std::vector<link_id>& answered, std::uint32_t grantable,
+    std::uint32_t wanted) {
   EndLeases();
   actions result;
   if (!granting_) return result;
-  std::map<link_id, std::vector<grant_id>> issued;
-  const steady_time end = clock_.SteadyNow() + kLease;
-  for (std::uint32_t free = std::min(Free(), grantable); free > 0; --free) {
+  auto preferred = answered.begin();
+  std::uint32_t free = std::min(Free(), grantable);
+  while (free > 0) {
     auto* next = NextEntry();
     if (next == nullptr) break;
-    last_grant_ = last_grant_.Next();
-    next->second.grants.emplace(last_grant_, end);
-    next->second.served = last_grant_.Value();
-    leases_.push_back({end, next->first, last_grant_});
-    ++granted_;
-    issued[next->first].push_back(last_grant_);
-  }
-  for (auto& [entry, grants] : issued) {
-    result.grants.push_back({entry, std::move(grants)});
+    if (preferred != answered.end()) {
+      const auto entry = entries_.find(*preferred++);
+      if (entry != entries_.end() && MayGoBefore(entry->second, next->second)) {
+        next = &*entry;
+      }
+    }
+    Issue(*next, result);
+    --free;
   }
   Recall(wanted, result);
   return result;
 }
 
+bool slot_controller::MayGoBefore(const entry_state& state,
+                                  const entry_state& next) {
+  if (state.held_until > next.held_until) return false;
+  const std::uint32_t unmet = Unmet(next);
+  if (unmet > 0) return 2 * Unmet(state) >= unmet;
+  return state.grants.size() <= next.grants.size() + 1;
+}
+
+void slot_controller::Issue(entry_map::value_type& entry, actions& result) {
+  const steady_time end = clock_.SteadyNow() + kLease;
+  last_grant_ = last_grant_.Next();
+  entry.second.grants.emplace(last_grant_, end);
+  entry.second.served = last_grant_.Value();
+  leases_.push_back({end, entry.first, last_grant_});
+  ++granted_;
+  for (grant_action& action : result.grants) {
+    if (action.entry != entry.first) continue;
+    action.grants.push_back(last_grant_);
+    return;
+  }
+  result.grants.push_back({entry.first, {last_grant_}});
+}
+
 void slot_controller::EndLeases() {
   const steady_time now = clock_.SteadyNow();
   while (!leases_.empty() && leases_.front().end <= now) {
@@ -159,17 +195,6 @@
   return best;
 }
 
-std::uint32_t slot_controller::Aging(const entry_state& state) const {
-  // Grant ids grow with time, so the oldest leases come first.
-  const steady_time limit = clock_.SteadyNow() + kRenewal;
-  std::uint32_t count = 0;
-  for (const auto& [grant, end] : state.grants) {
-    if (end > limit) break;
-    ++count;
-  }
-  return count;
-}
-
 void slot_controller::Recall(std::uint32_t wanted, actions& result) {
   std::uint32_t needed = wanted;
   const std::uint32_t unmet = Unmet();
@@ -181,11 +206,8 @@
     const auto held = static_cast<std::uint32_t>(state.grants.size());
     const auto kept = std::min<std::uint64_t>(
         held, std::uint64_t{state.demand} + state.recalled);
-    const std::uint32_t aging = Aging(state);
-    const std::uint32_t renewed =
-        aging > state.recalled ? aging - state.recalled : 0;
     const std::uint32_t count = static_cast<std::uint32_t>(
-        std::min<std::uint64_t>(held - kept, std::max(needed, renewed)));
+        std::min<std::uint64_t>(held - kept, needed));
     if (count == 0) continue;
     needed -= std::min(needed, count);
     state.recalled += count;
--- a/src/libalmond/controllers/agent/slot_controller.h
+++ b/src/libalmond/controllers/agent/slot_controller.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libalmond/core/clock.h"
+#include "libalmond/core/dispatch_messages.h"
 #include "libalmond/core/identifiers.h"
 
 namespace almond {
@@ -16,14 +17,7 @@
 /// at a time, under a lease; entries with unmet demand come first.
 class slot_controller {
  public:
-  /// Time for which a grant may be used; with the end of granting at a leave,
-  /// it bounds the time in which a leaving endpoint still gets work.
-  static constexpr milliseconds kLease{2000};
-  /// Rest of a lease at which an unused grant is asked back, so that the entry
-  /// gets a fresh one before it stops using the old one (300 ms before the
-  /// end).
-  static constexpr milliseconds kRenewal{600};
-
+  static constexpr milliseconds kLease = kGrantLease;
   /// Grants to send to one entry.
   struct grant_action {
     link_id entry;
@@ -74,12 +68,20 @@
   /// Frees the slot of a task that has ended or is suspended.
   void Release() { --busy_; }
 
+  /// Extends the leases of all unused grants. The announcement tells the
+  /// entries, so that an idle slot costs no message of its own.
+  void RenewLeases();
+
   /// Grants free slots and ends leases. Costs the number of entries for each
   /// slot that it grants, and once more.
+  /// @param answered entries that are about to be sent an answer, once for each
+  ///   answer; a grant that goes with it costs no message, so they come first
+  ///   unless another entry is clearly worse off
   /// @param grantable bound on new grants, for lack of other resources
   /// @param wanted idle slots that suspended tasks wait for
   /// @returns what to send
-  actions Allocate(std::uint32_t grantable = UINT32_MAX,
+  actions Allocate(const std::vector<link_id>& answered = {},
+                   std::uint32_t grantable = UINT32_MAX,
                    std::uint32_t wanted = 0);
 
   /// @returns tasks that entries have queued beyond their grants
@@ -116,7 +118,9 @@
   static std::uint32_t Unmet(const entry_state& state);
   /// @returns the entry that gets the next free slot, or null without entries
   entry_map::value_type* NextEntry();
-  std::uint32_t Aging(const entry_state& state) const;
+  /// @returns true if a grant may go to this entry instead of the next one
+  static bool MayGoBefore(const entry_state& state, const entry_state& next);
+  void Issue(entry_map::value_type& entry, actions& result);
   void Recall(std::uint32_t wanted, actions& result);
 
   const clock_interface& clock_;
--- a/src/libalmond/controllers/entry/dispatch_controller.h
+++ b/src/libalmond/controllers/entry/dispatch_controller.h
@@ -44,6 +44,10 @@
   static constexpr milliseconds kOverloadMemory{1000};
   /// Time for which an agent without connection and tasks is remembered.
   static constexpr milliseconds kAgentMemory{60000};
+  /// Time without queued tasks after which agents are told that there are none.
+  static constexpr milliseconds kDemandMemory{200};
+  /// Time over which answered names are collected into one message per agent.
+  static constexpr milliseconds kForgetPeriod{1000};
   /// Tasks that are passed over when no granted endpoint is large enough.
   static constexpr std::size_t kMaxPassedOver = 8;
 
@@ -120,6 +124,7 @@
     std::set<agent_id> agents;
     double usual_success = 1;  ///< mean of the agents that are not ejected
     std::optional<steady_time> refused;  ///< last refusal for lack of slots
+    steady_time last_queued;             ///< last tick that found queued tasks
   };
   struct pending_query {
     link_id link;
@@ -164,6 +169,7 @@
   void GiveUp(const task_name& name);
   void SendCancels(const std::vector<task_name>& names);
   void TellDemand(const service_id& service);
+  void WithdrawDemand(const service_id& service);
   void FlushForgets();
   void DropOldAgents();
 
@@ -176,6 +182,7 @@
   flight_table flights_;
   std::map<std::uint64_t, pending_query> queries_;
   std::uint64_t last_query_ = 0;
+  steady_time last_forgets_;
 };
 
 }  // namespace almond
--- a/src/libalmond/controllers/entry/dispatch_messages.cc
+++ b/src/libalmond/controllers/entry/dispatch_messages.cc
@@ -54,7 +54,9 @@
     agent.told_overloaded = false;
     QueryInDoubt(agent);
   }
-  if (!message.service.Empty()) TellDemand(message.service);
+  if (message.service.Empty()) return;
+  if (agent.Usable()) Service(message.service).grants.Renew(link, kGrantLease);
+  TellDemand(message.service);
 }
 
 void dispatch_controller::OnGrant(link_id link, const grant_message& message) {
@@ -91,13 +93,12 @@
 void dispatch_controller::OnAnswer(link_id link,
                                    const answer_message& message) {
   // Lease of a grant that comes with an answer.
-  constexpr milliseconds kNextGrantLease{2000};
   metrics_.answer.Add();
   const agent_record* agent = ByLink(link);
   if (agent == nullptr) return;
   const service_id service = agent->announced.service;
   if (message.next_grant && agent->Usable()) {
-    Service(service).grants.Add(link, *message.next_grant, kNextGrantLease);
+    Service(service).grants.Add(link, *message.next_grant, kGrantLease);
   }
   const flight* record = flights_.Find(message.name);
   if (record != nullptr && record->link == link) {
--- a/src/libalmond/controllers/entry/dispatch_tick.cc
+++ b/src/libalmond/controllers/entry/dispatch_tick.cc
@@ -11,6 +11,7 @@
   for (const service_id& service : services) {
     EndExpiredQueued(Service(service));
     Dispatch(service);
+    WithdrawDemand(service);
   }
   FlushForgets();
   DropOldAgents();
@@ -89,9 +90,8 @@
     // An ejected endpoint gets probes only; its slots are free for others.
     const std::uint32_t backlog = agent.health.Ejected() ? 0 : queued;
     // Starts carry the backlog; a message of its own is sent only when the
-    // backlog appears, vanishes or doubles.
-    const bool changed = (backlog == 0) != (agent.told_backlog == 0) ||
-                         backlog >= 2 * agent.told_backlog + 1;
+    // backlog appears or doubles. That it has gone is told by WithdrawDemand.
+    const bool changed = backlog >= 2 * agent.told_backlog + 1;
     if (!changed && overloaded == agent.told_overloaded) continue;
     agent.told_backlog = backlog;
     agent.told_overloaded = overloaded;
@@ -100,7 +100,26 @@
   }
 }
 
+void dispatch_controller::WithdrawDemand(const service_id& service) {
+  // Near full load the queue empties and fills many times a second; a message
+  // to every agent for each change would outnumber the tasks.
+  service_state& state = Service(service);
+  const steady_time now = clock_.SteadyNow();
+  if (!state.queue.empty()) state.last_queued = now;
+  if (state.last_queued + kDemandMemory > now) return;
+  for (const agent_id& id : state.agents) {
+    agent_record& agent = agents_.at(id);
+    if (!agent.Usable() || agent.told_backlog == 0) continue;
+    agent.told_backlog = 0;
+    metrics_.demand.Add();
+    hooks_.send(*agent.link, demand_message{0, agent.told_overloaded});
+  }
+}
+
 void dispatch_controller::FlushForgets() {
+  const steady_time now = clock_.SteadyNow();
+  if (last_forgets_ + kForgetPeriod > now) return;
+  last_forgets_ = now;
   for (auto& [id, agent] : agents_) {
     if (agent.forgets.empty() || !agent.link) continue;
     metrics_.forget.Add();
--- a/src/libalmond/controllers/entry/grant_pool.cc
+++ b/src/libalmond/controllers/entry/grant_pool.cc
@@ -42,6 +42,14 @@
   return result;
 }
 
+void grant_pool::Renew(link_id agent, milliseconds lease) {
+  DropExpired();
+  const auto position = agents_.find(agent);
+  if (position == agents_.end()) return;
+  const steady_time end = clock_.SteadyNow() + lease - kLeaseMargin;
+  for (item& held : position->second) held.end = end;
+}
+
 void grant_pool::RemoveAgent(link_id agent) { agents_.erase(agent); }
 
 std::size_t grant_pool::size() {
--- a/src/libalmond/controllers/entry/grant_pool.h
+++ b/src/libalmond/controllers/entry/grant_pool.h
@@ -45,6 +45,9 @@
   /// @param agent the agent that asks
   /// @param count how many it asks for at most
   std::vector<grant_id> TakeForReturn(link_id agent, std::uint32_t count);
+  /// Extends the leases of all grants of an agent.
+  /// @param lease time from the agent's sending
+  void Renew(link_id agent, milliseconds lease);
   /// Drops the grants of an agent whose connection has ended.
   void RemoveAgent(link_id agent);
   /// @returns number of usable grants
--- a/src/libalmond/core/dispatch_messages.h
+++ b/src/libalmond/core/dispatch_messages.h
@@ -23,7 +23,13 @@
   bool operator==(const endpoint_controls&) const = default;
 };
 
+/// Time for which a grant may be used after it was sent or renewed. With the
+/// end of granting at a leave, it bounds the time in which a leaving endpoint
+/// still gets work.
+inline constexpr milliseconds kGrantLease{2000};
+
 /// Agent to entry, each second and on change: the agent and its endpoint.
+/// Unless the agent leaves, it renews all grants that the entry holds from it.
 struct announce_message {
   agent_id agent;
   incarnation_id incarnation;
