Add ledger, configuration store, directory and the control client

Cause: accepted configurations and named submissions need durable state that every replica computes alike, and processes need a client that finds the leader and survives lost answers. Change: config_store and ledger as deterministic state under one state machine with a binary command codec; directory with the owners' liveness; control_service with shared read confirmations and takeover of dead owners' submissions; control codec; control_client and its link; config_holder; JSON of the operators' interface. A takeover or a second request at the owner never gets `accepted` again, since the deadline is part of a resend. Before: no control code.

--- /dev/null
+++ b/src/libalmond/controllers/config_holder.cc
@@ -0,0 +1,33 @@
+#include "libalmond/controllers/config_holder.h"
+
+#include <utility>
+
+namespace almond {
+
+config_holder::config_holder(data_centre_id data_centre, hooks callbacks)
+    : data_centre_(std::move(data_centre)), hooks_(std::move(callbacks)) {}
+
+bool config_holder::Offer(config_version version, const std::string& document,
+                          config_source source) {
+  if (version <= version_) {
+    if (source == config_source::leader) Announced(version);
+    return false;
+  }
+  const auto parsed = config_document::Parse(document);
+  if (!parsed) return false;
+  auto site = hooks_.resolve(*parsed, data_centre_);
+  if (!site) return false;
+  version_ = version;
+  document_ = document;
+  digest_ = parsed->Digest();
+  site_ = std::make_shared<const site_config>(std::move(*site));
+  confirmed_ = source == config_source::leader;
+  if (hooks_.on_change) hooks_.on_change();
+  return true;
+}
+
+void config_holder::Announced(config_version newest) {
+  if (version_.Value() != 0 && newest >= version_) confirmed_ = true;
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/control/byte_buffer.h
@@ -0,0 +1,98 @@
+#ifndef ALMOND_CONTROLLERS_CONTROL_BYTE_BUFFER_H_
+#define ALMOND_CONTROLLERS_CONTROL_BYTE_BUFFER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "libalmond/core/clock.h"
+#include "libalmond/core/identifiers.h"
+#include "libalmond/core/uuid.h"
+
+namespace almond {
+
+/// Appends values to a byte string: numbers of variable length and texts with
+/// their length.
+class byte_writer {
+ public:
+  void Number(std::uint64_t value) {
+    for (; value >= 0x80U; value >>= 7U) {
+      bytes_.push_back(static_cast<char>((value & 0x7FU) | 0x80U));
+    }
+    bytes_.push_back(static_cast<char>(value));
+  }
+  template <typename Tag>
+  void Number(const number_of<Tag>& value) {
+    Number(value.Value());
+  }
+  void Text(std::string_view text) {
+    Number(text.size());
+    bytes_.append(text);
+  }
+  /// Appends bytes of a length that the reader knows.
+  void Raw(std::string_view bytes) { bytes_.append(bytes); }
+  void Id(const uuid& id) { Raw(id.Bytes()); }
+  /// @param time stored in milliseconds
+  void Time(wall_time time) {
+    Number(static_cast<std::uint64_t>(
+        std::chrono::floor<milliseconds>(time.time_since_epoch()).count()));
+  }
+  void Reserve(std::size_t size) { bytes_.reserve(size); }
+  std::string Take() { return std::move(bytes_); }
+
+ private:
+  std::string bytes_;
+};
+
+/// Reads what byte_writer wrote. After damage each read gives an empty value
+/// and Ok is false.
+class byte_reader {
+ public:
+  explicit byte_reader(std::string_view bytes) : bytes_(bytes) {}
+
+  std::uint64_t Number() {
+    std::uint64_t value = 0;
+    for (unsigned shift = 0; shift < 64; shift += 7) {
+      if (position_ >= bytes_.size()) break;
+      const auto byte = static_cast<std::uint8_t>(bytes_[position_++]);
+      value |= static_cast<std::uint64_t>(byte & 0x7FU) << shift;
+      if ((byte & 0x80U) == 0) return value;
+    }
+    ok_ = false;
+    return 0;
+  }
+  std::uint32_t Number32() { return static_cast<std::uint32_t>(Number()); }
+  std::string_view Raw(std::size_t size) {
+    if (!ok_ || size > bytes_.size() - position_) {
+      ok_ = false;
+      return {};
+    }
+    position_ += size;
+    return bytes_.substr(position_ - size, size);
+  }
+  std::string Text() { return std::string(Raw(Number())); }
+  uuid Id() { return uuid::FromBytes(Raw(uuid::kSize)).value_or(uuid()); }
+  wall_time Time() {
+    return wall_time(milliseconds(static_cast<std::int64_t>(Number())));
+  }
+  /// @param last largest valid value
+  template <typename Enum>
+  Enum Enumerator(Enum last) {
+    const std::uint64_t value = Number();
+    if (value > static_cast<std::uint64_t>(last)) ok_ = false;
+    return ok_ ? static_cast<Enum>(value) : Enum{};
+  }
+  bool Ok() const { return ok_; }
+  /// @returns true if everything was read without damage
+  bool Finished() const { return ok_ && position_ == bytes_.size(); }
+
+ private:
+  std::string_view bytes_;
+  std::size_t position_ = 0;
+  bool ok_ = true;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_CONTROLLERS_CONTROL_BYTE_BUFFER_H_
--- /dev/null
+++ b/src/libalmond/controllers/control/config_store.cc
@@ -0,0 +1,95 @@
+#include "libalmond/controllers/control/config_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almond {
+
+change_result config_store::Apply(wall_time now, const config_change& change) {
+  if (const auto known = change_ids_.find(change.change_id);
+      known != change_ids_.end()) {
+    const std::string digest = Digest(known->second);
+    return {digest == change.digest ? change_outcome::accepted
+                                    : change_outcome::change_id_conflict,
+            known->second, digest};
+  }
+  if (change.expected != newest_) {
+    return {change_outcome::version_conflict, newest_, Digest(newest_)};
+  }
+  newest_ = newest_.Next();
+  documents_.push_back(change.document);
+  if (documents_.size() > kDocuments) documents_.pop_front();
+  Remember({newest_, change.digest, change.change_id, now});
+  Forget(now);
+  return {change_outcome::accepted, newest_, change.digest};
+}
+
+const std::string* config_store::Document(config_version version) const {
+  const std::uint64_t age = newest_.Value() - version.Value();
+  if (version > newest_ || age >= documents_.size()) return nullptr;
+  return &documents_[documents_.size() - 1 - age];
+}
+
+std::string config_store::Digest(config_version version) const {
+  const config_history_entry* change = Change(version);
+  return change == nullptr ? "" : change->digest;
+}
+
+std::vector<config_history_entry> config_store::History() const {
+  const std::size_t count = std::min(changes_.size(), kHistory);
+  return {changes_.end() - static_cast<std::ptrdiff_t>(count), changes_.end()};
+}
+
+void config_store::Save(byte_writer& writer) const {
+  writer.Number(newest_);
+  writer.Number(documents_.size());
+  for (const std::string& document : documents_) writer.Text(document);
+  writer.Number(changes_.size());
+  for (const config_history_entry& change : changes_) {
+    writer.Number(change.version);
+    writer.Text(change.digest);
+    writer.Id(change.change_id);
+    writer.Time(change.accepted);
+  }
+}
+
+bool config_store::Load(byte_reader& reader) {
+  *this = config_store();
+  newest_ = config_version(reader.Number());
+  const std::uint64_t documents = reader.Number();
+  for (std::uint64_t i = 0; i < documents && reader.Ok(); ++i) {
+    documents_.push_back(reader.Text());
+  }
+  const std::uint64_t changes = reader.Number();
+  for (std::uint64_t i = 0; i < changes && reader.Ok(); ++i) {
+    config_history_entry entry;
+    entry.version = config_version(reader.Number());
+    entry.digest = reader.Text();
+    entry.change_id = reader.Id();
+    entry.accepted = reader.Time();
+    Remember(std::move(entry));
+  }
+  return reader.Ok();
+}
+
+const config_history_entry* config_store::Change(config_version version) const {
+  const std::uint64_t age = newest_.Value() - version.Value();
+  if (version > newest_ || age >= changes_.size()) return nullptr;
+  return &changes_[changes_.size() - 1 - age];
+}
+
+void config_store::Remember(config_history_entry entry) {
+  change_ids_[entry.change_id] = entry.version;
+  changes_.push_back(std::move(entry));
+}
+
+void config_store::Forget(wall_time now) {
+  while (changes_.size() > kChangeIds &&
+         (changes_.size() > kMaxChangeIds ||
+          now - changes_.front().accepted > kChangeIdAge)) {
+    change_ids_.erase(changes_.front().change_id);
+    changes_.pop_front();
+  }
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/control/control_command.h
@@ -0,0 +1,52 @@
+#ifndef ALMOND_CONTROLLERS_CONTROL_CONTROL_COMMAND_H_
+#define ALMOND_CONTROLLERS_CONTROL_CONTROL_COMMAND_H_
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "libalmond/controllers/control/config_store.h"
+#include "libalmond/controllers/control/ledger.h"
+#include "libalmond/core/control_messages.h"
+
+namespace almond {
+
+/// A running submission as the leader saw it.
+struct takeover_item {
+  uuid submission;
+  owner_epoch epoch;
+
+  bool operator==(const takeover_item&) const = default;
+};
+
+/// Gives submissions of a dead owner to a live one.
+struct takeover_command {
+  ledger_owner successor;
+  std::vector<takeover_item> items;
+};
+
+/// One entry of the replicated log.
+struct control_command {
+  wall_time now;  ///< by the leader's clock; sets the log's time
+  std::variant<ledger_claim_message, ledger_finish_message, takeover_command,
+               config_change>
+      body;
+};
+
+/// Result of a claim; no reply means that the ledger is full.
+struct claim_result {
+  std::optional<ledger_claim_reply_message> reply;
+};
+
+/// Result of a takeover command.
+struct takeover_result {
+  std::uint32_t taken = 0;  ///< submissions that changed their owner
+};
+
+/// Result of a command, in the order of the command's alternatives.
+using control_result = std::variant<claim_result, ledger_finish_reply_message,
+                                    takeover_result, change_result>;
+
+}  // namespace almond
+
+#endif  // ALMOND_CONTROLLERS_CONTROL_CONTROL_COMMAND_H_
--- /dev/null
+++ b/src/libalmond/processes/control_process_api.cc
@@ -0,0 +1,98 @@
+#include "libalmond/processes/control_process_api.h"
+
+#include <utility>
+
+namespace almond {
+namespace {
+
+bool KnownPath(const std::string& path) {
+  return path == "/v1/config" || path == "/v1/config/history" ||
+         path == "/v1/status" || path == "/healthz" || path == "/metrics";
+}
+
+}  // namespace
+
+control_process_api::control_process_api(control_service& service,
+                                         const control_state_machine& machine,
+                                         const metrics_registry& metrics,
+                                         hooks callbacks)
+    : service_(service),
+      machine_(machine),
+      metrics_(metrics),
+      hooks_(std::move(callbacks)) {}
+
+void control_process_api::Handle(const http_request& request,
+                                 const http_server::responder& respond) {
+  if (!KnownPath(request.path)) {
+    respond(ReasonResponse(404, "unknown-path"));
+  } else if (request.method == "GET") {
+    HandleGet(request, respond);
+  } else if (request.method == "POST" && request.path == "/v1/config") {
+    PostConfig(request, respond);
+  } else {
+    respond(ReasonResponse(405, "unknown-method"));
+  }
+}
+
+void control_process_api::HandleGet(const http_request& request,
+                                    const http_server::responder& respond) {
+  if (request.path == "/v1/config") {
+    GetConfig(request, respond);
+  } else if (request.path == "/v1/config/history") {
+    GetHistory(respond);
+  } else if (request.path == "/v1/status") {
+    respond(Status());
+  } else if (request.path == "/healthz") {
+    respond(Health());
+  } else {
+    respond({200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
+  }
+}
+
+void control_process_api::PostConfig(const http_request& request,
+                                     const http_server::responder& respond) {
+  auto parsed = ParseChange(request.body);
+  if (const auto* refused = std::get_if<http_response>(&parsed)) {
+    respond(*refused);
+    return;
+  }
+  const auto& change = std::get<change_request>(parsed);
+  service_.ChangeConfig(change.change_id, change.expected, change.document,
+                        [this, respond](const change_answer& answer) {
+                          respond(ChangeResponse(answer, hooks_.leader_http()));
+                        });
+}
+
+void control_process_api::GetConfig(const http_request& request,
+                                    const http_server::responder& respond) {
+  const auto parsed = ParseVersionQuery(request.query);
+  if (const auto* refused = std::get_if<http_response>(&parsed)) {
+    respond(*refused);
+    return;
+  }
+  service_.Read([this, respond,
+                 version = std::get<config_version>(parsed)](bool confirmed) {
+    respond(confirmed ? ConfigResponse(machine_.Config(), version)
+                      : NotLeaderResponse(hooks_.leader_http()));
+  });
+}
+
+void control_process_api::GetHistory(const http_server::responder& respond) {
+  service_.Read([this, respond](bool confirmed) {
+    respond(confirmed ? HistoryResponse(machine_.Config())
+                      : NotLeaderResponse(hooks_.leader_http()));
+  });
+}
+
+http_response control_process_api::Status() const {
+  if (!hooks_.is_leader()) return NotLeaderResponse(hooks_.leader_http());
+  return StatusResponse(machine_.Config().Newest(), hooks_.leader_id(),
+                        service_.Directory().Processes(), hooks_.replicas());
+}
+
+http_response control_process_api::Health() const {
+  if (hooks_.leader_id().empty()) return ReasonResponse(503, "no-leader");
+  return {200, {{"Content-Type", "application/json"}}, "{}"};
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/control_process_api.h
@@ -0,0 +1,57 @@
+#ifndef ALMOND_PROCESSES_CONTROL_PROCESS_API_H_
+#define ALMOND_PROCESSES_CONTROL_PROCESS_API_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "libalmond/controllers/control/control_service.h"
+#include "libalmond/core/metrics.h"
+#include "libalmond/net/http_server.h"
+#include "libalmond/processes/control_process_codec.h"
+
+namespace almond {
+
+/// The operators' HTTP interface of a control process.
+class control_process_api {
+ public:
+  struct hooks {
+    std::function<bool()> is_leader;
+    /// Id of the leading replica, empty if not known.
+    std::function<std::string()> leader_id;
+    /// HTTP address of the leader, empty if not known.
+    std::function<std::string()> leader_http;
+    std::function<std::vector<replica_summary>()> replicas;
+  };
+
+  /// All references outlive the interface.
+  /// @param service serves changes and confirmed reads
+  /// @param machine the replicated state
+  control_process_api(control_service& service,
+                      const control_state_machine& machine,
+                      const metrics_registry& metrics, hooks callbacks);
+
+  /// Answers one request, at once or later.
+  void Handle(const http_request& request,
+              const http_server::responder& respond);
+
+ private:
+  void HandleGet(const http_request& request,
+                 const http_server::responder& respond);
+  void PostConfig(const http_request& request,
+                  const http_server::responder& respond);
+  void GetConfig(const http_request& request,
+                 const http_server::responder& respond);
+  void GetHistory(const http_server::responder& respond);
+  http_response Status() const;
+  http_response Health() const;
+
+  control_service& service_;
+  const control_state_machine& machine_;
+  const metrics_registry& metrics_;
+  hooks hooks_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_CONTROL_PROCESS_API_H_
--- /dev/null
+++ b/src/libalmond/processes/control_process_settings.h
@@ -0,0 +1,45 @@
+#ifndef ALMOND_PROCESSES_CONTROL_PROCESS_SETTINGS_H_
+#define ALMOND_PROCESSES_CONTROL_PROCESS_SETTINGS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libalmond/core/identifiers.h"
+#include "libalmond/core/socket_address.h"
+
+namespace almond {
+
+/// Addresses of one control process.
+struct control_address {
+  std::string id;
+  socket_address peer;                 ///< for the other replicas
+  socket_address control;              ///< for entries and agents
+  std::optional<socket_address> http;  ///< for operators, if stated
+
+  bool operator==(const control_address&) const = default;
+};
+
+/// Settings of a control process, from its flags.
+struct control_settings {
+  std::string id;
+  std::string cluster;
+  data_centre_id data_centre;
+  std::vector<control_address> replicas;  ///< all, with this one
+  socket_address listen_peer;
+  socket_address listen_control;
+  socket_address listen_http;
+  std::string data_dir;
+  bool bootstrap = false;
+};
+
+/// @param text "ID=IP:PORT/IP:PORT,..." with the addresses for replicas and for
+///   processes, and optionally "/IP:PORT" for operators
+/// @returns the replicas, or nothing if the text is malformed or an id repeats
+std::optional<std::vector<control_address>> ParseReplicas(
+    std::string_view text);
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_CONTROL_PROCESS_SETTINGS_H_
--- /dev/null
+++ b/tests/control/config_store_test.cc
@@ -0,0 +1,77 @@
+#include "libalmond/controllers/control/config_store.h"
+
+#include <catch2/catch.hpp>
+
+namespace almond {
+namespace {
+
+class config_store_fixture {
+ protected:
+  config_change Change(std::uint64_t expected, const std::string& document) {
+    return {uuid::MakeV7(clock_.WallNow(), random_), config_version(expected),
+            document, "digest of " + document};
+  }
+  change_result Apply(const config_change& change) {
+    return store_.Apply(clock_.WallNow(), change);
+  }
+  void ApplyMany(std::uint64_t count) {
+    for (std::uint64_t i = 0; i < count; ++i) {
+      const std::uint64_t newest = store_.Newest().Value();
+      REQUIRE(Apply(Change(newest, std::to_string(newest + 1))).outcome ==
+              change_outcome::accepted);
+    }
+  }
+
+  manual_clock clock_;
+  std::mt19937_64 random_{1};
+  config_store store_;
+};
+
+// Guards against two operators who both believe that their change is in force.
+TEST_CASE_METHOD(
+    config_store_fixture,
+    "config store / two changes with equal versions / one is accepted") {
+  CHECK(Apply(Change(0, "a")).outcome == change_outcome::accepted);
+  CHECK(Apply(Change(0, "b")) == change_result{change_outcome::version_conflict,
+                                               config_version(1),
+                                               "digest of a"});
+  CHECK(*store_.Document(config_version(1)) == "a");
+}
+
+// Guards against a resend that becomes a second version, or whose first answer
+// is lost once later changes were accepted.
+TEST_CASE_METHOD(config_store_fixture,
+                 "config store / resent change id / first answer or conflict") {
+  config_change first = Change(0, "a");
+  const change_result answer = Apply(first);
+  ApplyMany(GENERATE(as<std::uint64_t>{}, 0, 1, 40, 1200));
+  const config_version newest = store_.Newest();
+  SECTION("same content") { CHECK(Apply(first) == answer); }
+  SECTION("other content") {
+    first.digest = "digest of b";
+    CHECK(Apply(first).outcome == change_outcome::change_id_conflict);
+  }
+  CHECK(store_.Newest() == newest);
+}
+
+// Guards against memory that grows with each change, and against change ids
+// that are dropped while an operator may still resend.
+TEST_CASE_METHOD(config_store_fixture,
+                 "config store / many changes / keeps its stated limits") {
+  const config_change first = Change(0, "a");
+  Apply(first);
+  ApplyMany(config_store::kChangeIds);
+  const std::uint64_t newest = store_.Newest().Value();
+  CHECK(store_.History().size() == config_store::kHistory);
+  CHECK(store_.History().back().version == store_.Newest());
+  CHECK(store_.Document(config_version(newest - 31)) != nullptr);
+  CHECK(store_.Document(config_version(newest - 32)) == nullptr);
+  CHECK(store_.Document(config_version(newest + 1)) == nullptr);
+  CHECK(Apply(first).outcome == change_outcome::accepted);
+  clock_.Advance(config_store::kChangeIdAge + milliseconds(1));
+  ApplyMany(1);
+  CHECK(Apply(first).outcome == change_outcome::version_conflict);
+}
+
+}  // namespace
+}  // namespace almond
--- /dev/null
+++ b/tests/control/control_process_api_test.cc
@@ -0,0 +1,187 @@
+#include "libalmond/processes/control_process_api.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "control/control_service_fixture.h"
+#include "libalmond/processes/control_process_settings.h"
+
+namespace almond {
+namespace {
+
+using nlohmann::json;
+
+class control_process_api_fixture : public control_service_fixture {
+ protected:
+  // Sends a request and lets the log commit or confirm what follows from it.
+  int Call(const std::string& method, const std::string& path,
+           const std::string& body = "", const std::string& query = "",
+           proposal_outcome end = proposal_outcome::committed) {
+    response_ = {0, {}, ""};
+    api_.Handle(
+        {method, path, query, {}, body},
+        [this](const http_response& response) { response_ = response; });
+    while (!proposals_.empty()) EndProposal(end);
+    RunDeferred();
+    Confirm(leader_);
+    return response_.status;
+  }
+  json Body() const { return json::parse(response_.body); }
+  static json Change(int version, const std::string& base = "base: {}\n") {
+    return {{"base", base},
+            {"overlays", {{"nl-west-1", "a: 1\n"}}},
+            {"expect_version", version},
+            {"change_id",
+             "01900000-0000-7000-8000-00000000000" + std::to_string(version)}};
+  }
+  int Post(const json& change,
+           proposal_outcome end = proposal_outcome::committed) {
+    return Call("POST", "/v1/config", change.dump(), "", end);
+  }
+
+  http_response response_;
+  std::string leader_id_ = "c1";
+  control_process_api api_{
+      *service_,
+      machine_,
+      metrics_,
+      {[this] { return leader_; }, [this] { return leader_id_; },
+       [] { return "127.0.0.1:7201"; },
+       [] {
+         return std::vector<replica_summary>{{"c1", "leader", true, 3, 9}};
+       }}};
+};
+
+// Guards against an answer that an operator's program cannot act on.
+TEST_CASE_METHOD(control_process_api_fixture,
+                 "control api / changes / each end has its own answer") {
+  REQUIRE(Post(Change(0)) == 200);
+  const std::string digest = Body()["digest"];
+  CHECK(Body() == json{{"version", 1}, {"digest", digest}});
+  SECTION("resend") {
+    CHECK(Post(Change(0)) == 200);
+    CHECK(Body()["version"] == 1);
+  }
+  SECTION("version conflict") {
+    json late = Change(0);
+    late["change_id"] = "01900000-0000-7000-8000-0000000000ff";
+    CHECK(Post(late) == 409);
+    CHECK(Body() == json{{"reason", "version-conflict"},
+                         {"version", 1},
+                         {"digest", digest}});
+  }
+  SECTION("change id conflict") {
+    CHECK(Post(Change(0, "other: {}\n")) == 409);
+    CHECK(Body() == json{{"reason", "change-id-conflict"}});
+  }
+  SECTION("invalid configuration") {
+    CHECK(Post(Change(1, "bad")) == 422);
+    CHECK(Body()["errors"][0] ==
+          json{{"file", "base"}, {"key", "k"}, {"expected", "a map"}});
+  }
+  SECTION("not the leader") {
+    leader_ = false;
+    CHECK(Post(Change(1)) == 503);
+    CHECK(Body() ==
+          json{{"reason", "not-leader"}, {"leader", "127.0.0.1:7201"}});
+  }
+  SECTION("outcome unknown") {
+    CHECK(Post(Change(1), proposal_outcome::unknown) == 504);
+    CHECK(Body() == json{{"reason", "outcome-unknown"}});
+  }
+  CHECK(machine_.Config().Newest() == config_version(1));
+}
+
+// Guards against invalid input that changes something or has no reason.
+TEST_CASE_METHOD(control_process_api_fixture,
+                 "control api / invalid request / reason and no change") {
+  const auto refused = [this](const std::string& body, int status,
+                              const std::string& reason) {
+    CHECK(Call("POST", "/v1/config", body) == status);
+    CHECK(Body()["reason"] == reason);
+  };
+  refused("", 400, "bad-json");
+  refused("{\"base\":", 400, "bad-json");
+  refused("{\"base\":\"\xFF\"}", 400, "bad-utf8");
+  refused("[]", 400, "bad-request");
+  refused(std::string(kMaxChangeBytes + 1, ' '), 413, "body-too-large");
+  for (const char* field : {"base", "expect_version", "change_id"}) {
+    json change = Change(0);
+    change.erase(field);
+    refused(change.dump(), 400, "bad-request");
+    change[field] = json::array();
+    refused(change.dump(), 400, "bad-request");
+  }
+  const std::vector<std::pair<const char*, json>> wrong = {
+      {"expect_version", -1},    {"expect_version", 1.5},
+      {"change_id", "1"},        {"overlays", json::array()},
+      {"overlays", {{"dc", 1}}}, {"overlay", json::object()}};
+  for (const auto& [field, value] : wrong) {
+    json change = Change(0);
+    change[field] = value;
+    refused(change.dump(), 400, "bad-request");
+  }
+  CHECK(Call("GET", "/v1/nothing") == 404);
+  CHECK(Call("PUT", "/v1/config") == 405);
+  CHECK(Call("POST", "/v1/status") == 405);
+  for (const char* query : {"version=", "version=0", "version=1x", "v=1",
+                            "version=99999999999999999999"}) {
+    CHECK(Call("GET", "/v1/config", "", query) == 400);
+  }
+  CHECK(machine_.Config().Newest() == config_version(0));
+}
+
+// Guards against reads that show another state than the newest accepted one.
+TEST_CASE_METHOD(control_process_api_fixture,
+                 "control api / reads / show the accepted state") {
+  CHECK(Call("GET", "/v1/config") == 200);
+  CHECK(Body()["version"] == 0);
+  Post(Change(0));
+  Post(Change(1, "second: {}\n"));
+  CHECK(Call("GET", "/v1/config") == 200);
+  CHECK(Body()["base"] == "second: {}\n");
+  CHECK(Body()["overlays"] == json{{"nl-west-1", "a: 1\n"}});
+  CHECK(Call("GET", "/v1/config", "", "version=1") == 200);
+  CHECK(Body()["base"] == "base: {}\n");
+  CHECK(Call("GET", "/v1/config", "", "version=3") == 404);
+  CHECK(Call("GET", "/v1/config/history") == 200);
+  CHECK(Body()["changes"].size() == 2);
+  CHECK(Body()["changes"][0]["change_id"] == Change(0)["change_id"]);
+  Beat("e1");
+  CHECK(Call("GET", "/v1/status") == 200);
+  CHECK(Body()["newest"] == 2);
+  CHECK(Body()["processes"][0]["role"] == "entry");
+  CHECK(Body()["replicas"][0]["commit_index"] == 9);
+  CHECK(Call("GET", "/metrics") == 200);
+  CHECK(Call("GET", "/healthz") == 200);
+  leader_ = false;
+  CHECK(Call("GET", "/healthz") == 200);
+  CHECK(Call("GET", "/v1/config") == 503);
+  CHECK(Call("GET", "/v1/config/history") == 503);
+  CHECK(Call("GET", "/v1/status") == 503);
+  leader_id_.clear();
+  CHECK(Call("GET", "/healthz") == 503);
+  CHECK(Body()["reason"] == "no-leader");
+}
+
+// Guards against a replica that starts with a list it read wrongly.
+TEST_CASE("control settings / replicas / whole list or nothing") {
+  const auto replicas = ParseReplicas(
+      "c1=127.0.0.1:1/127.0.0.1:2,c2=127.0.0.1:3/127.0.0.1:4/127.0.0.1:5");
+  REQUIRE(replicas.has_value());
+  CHECK(replicas->at(1) == control_address{"c2",
+                                           {"127.0.0.1", 3},
+                                           {"127.0.0.1", 4},
+                                           socket_address{"127.0.0.1", 5}});
+  CHECK_FALSE(replicas->at(0).http.has_value());
+  for (const char* text :
+       {"", "c1", "c1=127.0.0.1:1", "=127.0.0.1:1/127.0.0.1:2",
+        "c1=127.0.0.1:1/x", "c1=127.0.0.1:1/127.0.0.1:2,",
+        "c1=127.0.0.1:1/127.0.0.1:2,c1=127.0.0.1:3/127.0.0.1:4",
+        "c1=127.0.0.1:1/127.0.0.1:2/127.0.0.1:3/127.0.0.1:4"}) {
+    CHECK_FALSE(ParseReplicas(text).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace almond
--- /dev/null
+++ b/tests/control/control_service_test.cc
@@ -0,0 +1,245 @@
+#include <catch2/catch.hpp>
+
+#include "control/control_service_fixture.h"
+
+namespace almond {
+namespace {
+
+// Guards against a reply from a replica that may not know the newest state.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / not the leader / names the leader") {
+  SECTION("follower") {
+    leader_ = false;
+    Send(ledger_read_message{});
+  }
+  SECTION("leadership lost before a read was confirmed") {
+    Send(GENERATE(control_request(ledger_read_message{}),
+                  control_request(fetch_config_message{})));
+    RunDeferred();
+    Confirm(false);
+  }
+  SECTION("leadership lost before a claim or end was committed") {
+    Send(GENERATE(control_request(ledger_claim_message{}),
+                  control_request(ledger_finish_message{})));
+    EndProposal(
+        GENERATE(proposal_outcome::not_leader, proposal_outcome::unknown));
+  }
+  CHECK(Last<not_leader_message>().leader_address == "127.0.0.1:7102");
+}
+
+// Guards against a confirmation round for each read.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / many reads at once / one confirmation") {
+  for (int i = 0; i < 50; ++i) Send(ledger_read_message{});
+  RunDeferred();
+  CHECK(confirms_.size() == 1);
+  CHECK(replies_.empty());
+  Confirm(true);
+  CHECK(replies_.size() == 50);
+}
+
+// Guards against a claim that is accepted twice when its answer is lost and it
+// is resent to the next leader, in either order of commit.
+TEST_CASE_METHOD(
+    control_service_fixture,
+    "control service / claim resent after a lost answer / accepted "
+    "for its owner only") {
+  const ledger_claim_message claim = Claim("e1");
+  ledger_claim_message rival = claim;
+  rival.owner = entry_id("e2");
+  Send(claim);
+  if (GENERATE(true, false)) {
+    machine_.Apply(proposals_.front().command);
+    NewLeader();
+    Send(rival);
+    Commit();
+    CHECK(Last<ledger_claim_reply_message>().outcome == claim_outcome::exists);
+    Send(claim);
+    Commit();
+    CHECK(Last<ledger_claim_reply_message>().outcome ==
+          claim_outcome::accepted);
+  } else {
+    NewLeader();
+    Send(rival);
+    Commit();
+    CHECK(Last<ledger_claim_reply_message>().outcome ==
+          claim_outcome::accepted);
+    Send(claim);
+    Commit();
+    CHECK(Last<ledger_claim_reply_message>().outcome == claim_outcome::exists);
+  }
+}
+
+// Guards against "accepted" or a hang when no record could be stored.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / full ledger / claim gets no owner") {
+  ledger_options options;
+  options.max_records = 0;
+  machine_ = control_state_machine(options);
+  Send(Claim("e1"));
+  Commit();
+  CHECK(Last<not_leader_message>().leader_address.empty());
+}
+
+// Guards against a job that never ends when its owner is dead.
+TEST_CASE_METHOD(
+    control_service_fixture,
+    "control service / owner dies / live entries take over evenly") {
+  Beat("e1");
+  std::vector<ledger_claim_message> claims;
+  for (int i = 0; i < 10; ++i) {
+    claims.push_back(Claim("e1"));
+    Send(claims.back());
+  }
+  Commit();
+  Pass(milliseconds(3500), {"e2", "e3"});
+  CHECK(proposals_.empty());
+  Pass(milliseconds(500), {"e2", "e3"});
+  Commit();
+  const auto second = Beat("e2").takeovers;
+  CHECK(second.size() == 5);
+  CHECK(Beat("e3").takeovers.size() == 5);
+  CHECK(Beat("e1").takeovers.empty());
+  Send(ledger_finish_message{
+      second[0].submission, second[0].epoch, ledger_state::complete, {}});
+  Commit();
+  CHECK(Last<ledger_finish_reply_message>().stored);
+  CHECK(Beat("e2").takeovers.size() == 4);
+  // The successor dies too.
+  Pass(milliseconds(4500), {"e3"});
+  Commit();
+  CHECK(Beat("e3").takeovers.size() == 9);
+}
+
+// Guards against an old owner's end that overrides the new owner's, and against
+// a takeover of a job that has ended.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / end crosses the takeover / first in the "
+                 "log wins") {
+  const ledger_claim_message claim = Claim("e1");
+  Send(claim);
+  Commit();
+  const ledger_finish_message finish{
+      claim.submission, ledger::kFirstEpoch, ledger_state::complete, {}};
+  const bool finish_first = GENERATE(true, false);
+  if (finish_first) Send(finish);
+  Pass(milliseconds(4000), {"e2"});
+  if (!finish_first) Send(finish);
+  replies_.clear();
+  REQUIRE(proposals_.size() == 2);
+  Commit();
+  CHECK(Last<ledger_finish_reply_message>().stored == finish_first);
+  CHECK(Beat("e2").takeovers.size() == (finish_first ? 0U : 1U));
+}
+
+// Guards against a takeover that is lost with the leader that proposed it.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / leader changes before the takeover / the "
+                 "next one does it after its own wait") {
+  Send(Claim("e1"));
+  Commit();
+  Pass(milliseconds(4000), {"e2"});
+  REQUIRE(proposals_.size() == 1);
+  NewLeader();
+  Pass(milliseconds(3500), {"e2"});
+  CHECK(proposals_.empty());
+  Pass(milliseconds(500), {"e2"});
+  REQUIRE(proposals_.size() == 1);
+  SECTION("and a failed proposal is repeated") {
+    EndProposal(proposal_outcome::unknown);
+    Pass(milliseconds(500), {"e2"});
+  }
+  Commit();
+  CHECK(Beat("e2").takeovers.size() == 1);
+}
+
+// Guards against takeover of live owners by a leader that was stopped for long
+// and runs its timer before it reads the heartbeats that wait.
+TEST_CASE_METHOD(
+    control_service_fixture,
+    "control service / leader did not run / declares nobody dead") {
+  Send(Claim("e1"));
+  Commit();
+  Pass(milliseconds(5000), {"e1", "e2"});
+  clock_.Advance(std::chrono::seconds(20));
+  service_->Tick();
+  CHECK(proposals_.empty());
+  Pass(milliseconds(6000), {"e1", "e2"});
+  CHECK(proposals_.empty());
+}
+
+// Guards against jobs of an entry's earlier run that nobody ends, after many
+// restarts of the same entry.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / entry restarts often / its jobs are taken "
+                 "over at once") {
+  Pass(milliseconds(5000), {"e2"});
+  for (std::uint64_t run = 1; run <= 300; ++run) {
+    Beat("e1", run);
+    Beat("e2");
+    service_->Tick();
+    Commit();
+    Send(Claim("e1", run));
+    Commit();
+  }
+  replies_.clear();
+  Beat("e1", 301);
+  service_->Tick();
+  Commit();
+  CHECK(machine_.Ledger().RunningOwners() ==
+        std::vector<ledger_owner>{{entry_id("e1"), incarnation_id(301)},
+                                  {entry_id("e2"), incarnation_id(1)}});
+}
+
+// Guards against two accepted changes for one version, a change that is made
+// twice by a resend, and an answer that claims more than is known.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / operators' changes / answers are true") {
+  const uuid first = uuid::MakeV7(clock_.WallNow(), random_);
+  const uuid second = uuid::MakeV7(clock_.WallNow(), random_);
+  const auto outcome = [](const change_answer& answer) {
+    return std::get<change_result>(answer).outcome;
+  };
+  SECTION("a race of equal versions") {
+    CHECK(outcome(Change(first, 0, "a", proposal_outcome::committed)) ==
+          change_outcome::accepted);
+    CHECK(outcome(Change(second, 0, "b", proposal_outcome::committed)) ==
+          change_outcome::version_conflict);
+  }
+  SECTION("a resend to another control process after a lost answer") {
+    service_->ChangeConfig(first, config_version(0), {"a", {}},
+                           [](const change_answer&) {});
+    machine_.Apply(proposals_.front().command);
+    NewLeader();
+    CHECK(outcome(Change(first, 0, "a", proposal_outcome::committed)) ==
+          change_outcome::accepted);
+    CHECK(outcome(Change(first, 1, "b", proposal_outcome::committed)) ==
+          change_outcome::change_id_conflict);
+  }
+  SECTION("an invalid document") {
+    const auto answer = Change(first, 0, "bad", proposal_outcome::committed);
+    CHECK(std::get<change_invalid>(answer).errors.size() == 1);
+  }
+  SECTION("leadership lost") {
+    CHECK(std::holds_alternative<change_not_leader>(
+        Change(first, 0, "a", proposal_outcome::not_leader)));
+    CHECK(std::holds_alternative<change_unknown>(
+        Change(first, 0, "a", proposal_outcome::unknown)));
+  }
+  SECTION("no majority within the time limit") {
+    int answers = 0;
+    service_->ChangeConfig(
+        first, config_version(0), {"a", {}},
+        [&answers](const change_answer& answer) {
+          ++answers;
+          CHECK(std::holds_alternative<change_unknown>(answer));
+        });
+    Pass(milliseconds(5000), {});
+    CHECK(answers == 1);
+    Commit();
+    CHECK(answers == 1);
+  }
+}
+
+}  // namespace
+}  // namespace almond
