Add the control process and its program

Cause: the control service, the replicated log and the operators' interface had no process that joins them. Change: control_process wires the log's host, the state machine, the links of entries and agents and the HTTP interface; almond-controld reads its flags. A test runs three replicas and an entry's client on one loop, with the end of the leader and with a restart of all replicas. Conclusion: entries and agents can be wired to control_client_link.

--- /dev/null
+++ b/src/controld/main.cc
@@ -0,0 +1,125 @@
+#include <gflags/gflags.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "libalmond/core/logging.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/processes/control_process.h"
+
+DEFINE_string(id, "", "id of this replica, one of --replicas");
+DEFINE_string(replicas, "",
+              "all replicas: ID=IP:PORT/IP:PORT,... with the addresses that "
+              "replicas and processes dial, and optionally /IP:PORT that "
+              "operators call");
+DEFINE_string(listen_peer, "",
+              "IP:PORT that replicas dial; empty takes it from --replicas");
+DEFINE_string(listen_control, "",
+              "IP:PORT that processes dial; empty takes it from --replicas");
+DEFINE_string(listen_http, "127.0.0.1:0",
+              "IP:PORT of the operators' HTTP interface; port 0 takes a free "
+              "one");
+DEFINE_string(data_dir, "", "folder of the log and the snapshots");
+DEFINE_string(cluster, "almond",
+              "name of the cluster; a data folder of another one is refused");
+DEFINE_string(data_centre, "", "data centre of this replica");
+DEFINE_bool(bootstrap, false,
+            "initialise an empty data folder as part of a new cluster; only "
+            "for the first start of all replicas");
+DECLARE_bool(help);
+
+namespace almond {
+namespace {
+
+// Reads an address flag.
+// Returns false, with a message on standard error, if it is malformed.
+bool ReadAddress(const char* name, const std::string& text,
+                 const std::optional<socket_address>& fallback,
+                 socket_address& result) {
+  const auto parsed = text.empty() ? fallback : socket_address::Parse(text);
+  if (parsed) {
+    result = *parsed;
+    return true;
+  }
+  std::cerr << "--" << name << " \"" << text << "\" is not IP:PORT\n";
+  return false;
+}
+
+std::optional<control_settings> ReadSettings() {
+  control_settings settings;
+  settings.id = FLAGS_id;
+  settings.cluster = FLAGS_cluster;
+  settings.data_centre = data_centre_id(FLAGS_data_centre);
+  settings.data_dir = FLAGS_data_dir;
+  settings.bootstrap = FLAGS_bootstrap;
+  const auto replicas = ParseReplicas(FLAGS_replicas);
+  if (!replicas) {
+    std::cerr << "--replicas \"" << FLAGS_replicas
+              << "\" is not ID=IP:PORT/IP:PORT[/IP:PORT],... with distinct "
+                 "ids\n";
+    return std::nullopt;
+  }
+  settings.replicas = *replicas;
+  const auto self =
+      std::find_if(replicas->begin(), replicas->end(),
+                   [](const auto& replica) { return replica.id == FLAGS_id; });
+  if (self == replicas->end()) {
+    std::cerr << "--id \"" << FLAGS_id << "\" is not in --replicas\n";
+    return std::nullopt;
+  }
+  if (settings.data_dir.empty()) {
+    std::cerr << "--data_dir is missing\n";
+    return std::nullopt;
+  }
+  if (!ReadAddress("listen_peer", FLAGS_listen_peer, self->peer,
+                   settings.listen_peer) ||
+      !ReadAddress("listen_control", FLAGS_listen_control, self->control,
+                   settings.listen_control) ||
+      !ReadAddress("listen_http", FLAGS_listen_http, std::nullopt,
+                   settings.listen_http)) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+int Run(const control_settings& settings) {
+  event_loop loop;
+  const system_clock clock;
+  control_process process(loop, clock, settings);
+  if (const auto error = process.Start()) {
+    std::cerr << *error << "\n";
+    return 1;
+  }
+  const auto stop = [&loop] { loop.Stop(); };
+  const event_handle on_terminate = loop.OnSignal(SIGTERM, stop);
+  const event_handle on_interrupt = loop.OnSignal(SIGINT, stop);
+  loop.Run();
+  LOG(INFO) << "stopped by a signal";
+  return 0;
+}
+
+}  // namespace
+}  // namespace almond
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "One replica of almondproxy's control process: configuration, job "
+      "ledger and directory. Each flag can also be set in the environment as "
+      "FLAGS_name with --fromenv=name.");
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, /*remove_flags=*/true);
+  if (FLAGS_help) {
+    gflags::ShowUsageWithFlagsRestrict(argv[0], "controld/main");
+    return 0;
+  }
+  if (argc > 1) {
+    std::cerr << "unexpected argument \"" << argv[1] << "\"\n";
+    return 1;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  almond::ConfigureLogging("almond-controld");
+  const auto settings = almond::ReadSettings();
+  return settings ? almond::Run(*settings) : 1;
+}
--- /dev/null
+++ b/src/libalmond/processes/control_process.cc
@@ -0,0 +1,198 @@
+#include "libalmond/processes/control_process.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "libalmond/core/logging.h"
+#include "libalmond/storage/storage_error.h"
+#include "libalmond/wire/control_codec.h"
+
+namespace almond {
+
+control_process::control_process(event_loop& loop, const clock_interface& clock,
+                                 control_settings settings)
+    : loop_(loop),
+      clock_(clock),
+      settings_(std::move(settings)),
+      random_(std::random_device{}()),
+      service_(clock, machine_, metrics_, ServiceHooks()),
+      api_(service_, machine_, metrics_, ApiHooks()),
+      http_(loop,
+            [this](const http_request& request,
+                   const http_server::responder& respond) {
+              api_.Handle(request, respond);
+            }),
+      listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
+        OnAccept(link);
+      }) {}
+
+std::optional<std::string> control_process::Start() {
+  if (!http_.Listen(settings_.listen_http)) {
+    return "cannot bind --listen_http " + settings_.listen_http.ToString();
+  }
+  if (!listener_.Listen(settings_.listen_control)) {
+    return "cannot bind --listen_control " +
+           settings_.listen_control.ToString();
+  }
+  if (auto error = StartHost()) return error;
+  tick_timer_ = loop_.Every(control_service::kTickPeriod, [this] { Tick(); });
+  LOG(INFO) << "replica " << settings_.id << " serves operators on "
+            << http_.Address().ToString() << " and processes on "
+            << listener_.Address().ToString();
+  return std::nullopt;
+}
+
+control_service::hooks control_process::ServiceHooks() {
+  return {[this](std::string command, proposal_hook on_end) {
+            host_->Propose(std::move(command), std::move(on_end));
+          },
+          [this](read_hook on_end) { host_->ConfirmRead(std::move(on_end)); },
+          [this] { return Leads(); },
+          [this] {
+            const control_address* leader = LeaderAddress();
+            return leader == nullptr ? "" : leader->control.ToString();
+          },
+          [this](std::function<void()> call) {
+            loop_.Post(milliseconds(0), std::move(call));
+          },
+          CheckDocument};
+}
+
+control_process_api::hooks control_process::ApiHooks() {
+  return {[this] { return Leads(); }, [this] { return LeaderId(); },
+          [this] {
+            const control_address* leader = LeaderAddress();
+            return leader == nullptr || !leader->http
+                       ? ""
+                       : leader->http->ToString();
+          },
+          [this] { return Replicas(); }};
+}
+
+replica_host_settings control_process::HostSettings() const {
+  replica_host_settings result;
+  result.cluster = settings_.cluster;
+  result.self = replica_id(settings_.id);
+  for (const control_address& replica : settings_.replicas) {
+    const bool self = replica.id == settings_.id;
+    result.replicas.push_back({replica_id(replica.id),
+                               self ? settings_.listen_peer : replica.peer,
+                               replica.control});
+  }
+  result.data_folder = settings_.data_dir;
+  result.bootstrap = settings_.bootstrap;
+  return result;
+}
+
+replica_host::state_machine control_process::Machine() {
+  return {
+      [this](log_index, const std::string& command) { return Apply(command); },
+      [this] { return machine_.Snapshot(); },
+      [this](const std::string& snapshot) {
+        // Checksums have passed, so this is a snapshot of another release.
+        if (!machine_.Restore(snapshot)) {
+          LOG(FATAL) << "the snapshot in " << settings_.data_dir
+                     << " has a format that this release cannot read";
+        }
+      },
+      [this] { service_.LeaderChanged(); }};
+}
+
+std::optional<std::string> control_process::StartHost() {
+  return boost::leaf::try_handle_all(
+      [this]() -> boost::leaf::result<std::optional<std::string>> {
+        BOOST_LEAF_AUTO(host,
+                        replica_host::Start(loop_, clock_, random_, metrics_,
+                                            HostSettings(), Machine()));
+        host_ = std::move(host);
+        return std::optional<std::string>();
+      },
+      [](const storage_error& error) {
+        return std::optional(error.ToString());
+      },
+      [](const replica_host_error& error) {
+        return std::optional(error.message);
+      },
+      [] { return std::optional<std::string>("the replica cannot start"); });
+}
+
+std::string control_process::Apply(const std::string& command) {
+  const config_version before = machine_.Config().Newest();
+  std::string result = machine_.Apply(command);
+  const config_version newest = machine_.Config().Newest();
+  // Not for the entries that are replayed while the host starts.
+  if (host_ && newest != before) {
+    LOG(INFO) << "newest configuration is version " << newest << ", digest "
+              << machine_.Config().Digest(newest);
+  }
+  return result;
+}
+
+std::string control_process::LeaderId() const {
+  return host_ ? host_->LeaderId().Value() : "";
+}
+
+const control_address* control_process::LeaderAddress() const {
+  const std::string leader = LeaderId();
+  const auto found = std::find_if(
+      settings_.replicas.begin(), settings_.replicas.end(),
+      [&leader](const auto& replica) { return replica.id == leader; });
+  return found == settings_.replicas.end() ? nullptr : &*found;
+}
+
+std::vector<replica_summary> control_process::Replicas() const {
+  const replica_status status = host_->Status();
+  std::vector<replica_summary> result;
+  for (const control_address& replica : settings_.replicas) {
+    replica_summary& summary = result.emplace_back();
+    summary.id = replica.id;
+    summary.admitted = status.members.contains(replica_id(replica.id));
+    summary.role = replica.id == status.leader.Value() ? "leader" : "follower";
+    if (replica.id != settings_.id) continue;
+    summary.role = Name(status.role);
+    summary.term = status.term;
+    summary.commit_index = status.commit;
+  }
+  return result;
+}
+
+void control_process::OnAccept(const std::shared_ptr<peer_link>& link) {
+  last_link_ = last_link_.Next();
+  const link_id id = last_link_;
+  links_[id] = link;
+  link->Start(
+      {[this, id](const frame& encoded) { OnFrame(id, encoded); },
+       [this, id](const std::string& /*reason*/) { links_.erase(id); }});
+}
+
+void control_process::OnFrame(link_id id, const frame& encoded) {
+  const auto link = links_.find(id);
+  if (link == links_.end()) return;
+  const auto request = DecodeControlRequest(encoded);
+  if (!request) {
+    metrics_.Counter("almond_bad_frames_total").Add();
+    link->second->Close();
+    links_.erase(link);
+    return;
+  }
+  service_.Handle(request->body,
+                  [to = std::weak_ptr(link->second),
+                   number = request->number](const control_reply& reply) {
+                    const auto open = to.lock();
+                    if (open) open->Send(EncodeControlReply(number, reply));
+                  });
+}
+
+void control_process::Tick() {
+  service_.Tick();
+  metrics_.Gauge("almond_control_leader").Set(Leads() ? 1 : 0);
+  metrics_.Gauge("almond_control_config_version")
+      .Set(static_cast<double>(machine_.Config().Newest().Value()));
+  metrics_.Gauge("almond_control_ledger_records")
+      .Set(static_cast<double>(machine_.Ledger().Size()));
+  metrics_.Gauge("almond_control_connections")
+      .Set(static_cast<double>(links_.size()));
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/control_process.h
@@ -0,0 +1,76 @@
+#ifndef ALMOND_PROCESSES_CONTROL_PROCESS_H_
+#define ALMOND_PROCESSES_CONTROL_PROCESS_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "libalmond/controllers/control/control_service.h"
+#include "libalmond/core/metrics.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/net/http_server.h"
+#include "libalmond/net/peer_listener.h"
+#include "libalmond/processes/control_process_api.h"
+#include "libalmond/processes/control_process_settings.h"
+#include "libalmond/processes/replica_host.h"
+
+namespace almond {
+
+/// A control process: wires the replicated log to the control state machine,
+/// and the control service to the links of entries and agents and to the
+/// operators' HTTP interface.
+class control_process {
+ public:
+  /// @param loop the process's loop; outlives the process
+  /// @param clock source of time; outlives the process
+  control_process(event_loop& loop, const clock_interface& clock,
+                  control_settings settings);
+  control_process(const control_process&) = delete;
+  control_process& operator=(const control_process&) = delete;
+
+  /// Opens the data folder and binds the ports.
+  /// @returns nothing, or why it cannot start
+  std::optional<std::string> Start();
+
+  /// @returns true if this replica leads the cluster
+  bool Leads() const { return host_ && host_->IsLeader(); }
+  const socket_address& HttpAddress() const { return http_.Address(); }
+  const socket_address& ControlAddress() const { return listener_.Address(); }
+
+ private:
+  control_service::hooks ServiceHooks();
+  control_process_api::hooks ApiHooks();
+  replica_host_settings HostSettings() const;
+  replica_host::state_machine Machine();
+  std::optional<std::string> StartHost();
+  std::string Apply(const std::string& command);
+  std::string LeaderId() const;
+  const control_address* LeaderAddress() const;
+  std::vector<replica_summary> Replicas() const;
+
+  void OnAccept(const std::shared_ptr<peer_link>& link);
+  void OnFrame(link_id id, const frame& encoded);
+  void Tick();
+
+  event_loop& loop_;
+  const clock_interface& clock_;
+  control_settings settings_;
+  std::mt19937_64 random_;
+  metrics_registry metrics_;
+  control_state_machine machine_;
+  control_service service_;
+  control_process_api api_;
+  http_server http_;
+  peer_listener listener_;
+  std::map<link_id, std::shared_ptr<peer_link>> links_;
+  link_id last_link_;
+  std::unique_ptr<replica_host> host_;
+  event_handle tick_timer_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_CONTROL_PROCESS_H_
--- /dev/null
+++ b/tests/control/control_process_test.cc
@@ -0,0 +1,182 @@
+#include "libalmond/processes/control_process.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+#include "libalmond/core/digest.h"
+#include "libalmond/net/http_client.h"
+#include "libalmond/processes/control_client_link.h"
+
+namespace almond {
+namespace {
+
+/// A cluster of three replicas with an entry's client, over loopback.
+class control_process_fixture {
+ protected:
+  static constexpr std::size_t kReplicas = 3;
+
+  control_process_fixture() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "control.XXXXXX").string();
+    folder_ = mkdtemp(pattern.data());
+    limit_ = loop_.After(std::chrono::seconds(60), [this] {
+      late_ = true;
+      loop_.Stop();
+    });
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      replicas_.push_back(
+          {"c" + std::to_string(i), FreePort(), FreePort(), FreePort()});
+      addresses_.push_back(replicas_.back().control);
+    }
+    for (std::size_t i = 0; i < kReplicas; ++i) Start(i, true);
+    StartClient();
+  }
+  ~control_process_fixture() {
+    client_.reset();
+    processes_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+
+  // The ports are kept bound until all are taken, so that they differ.
+  socket_address FreePort() {
+    held_.push_back(std::make_unique<peer_listener>(
+        loop_, clock_, [](const std::shared_ptr<peer_link>&) {}));
+    REQUIRE(held_.back()->Listen({"127.0.0.1", 0}));
+    return held_.back()->Address();
+  }
+  void Start(std::size_t index, bool bootstrap) {
+    held_.clear();
+    const control_address& self = replicas_[index];
+    processes_[index] = std::make_unique<control_process>(
+        loop_, clock_,
+        control_settings{self.id, "test", data_centre_id("nl-west-1"),
+                         replicas_, self.peer, self.control, *self.http,
+                         folder_ + "/" + self.id, bootstrap});
+    REQUIRE(processes_[index]->Start() == std::nullopt);
+  }
+  void StartClient() {
+    client_ = std::make_unique<control_client_link>(
+        loop_, clock_, metrics_, addresses_,
+        control_client::hooks{
+            {},
+            {},
+            [this] {
+              heartbeat_message beat;
+              beat.id = "e1";
+              beat.incarnation = incarnation_id(5);
+              beat.peer_address = "127.0.0.1:1";
+              beat.version = version_;
+              return beat;
+            },
+            [this](const std::vector<entry_address>& entries) {
+              entries_ = entries;
+            },
+            [](const ledger_record&) {},
+            [](config_version) {},
+            [this](config_version version, const std::string& document) {
+              version_ = version;
+              document_ = document;
+            }});
+  }
+  std::size_t Leader() {
+    std::size_t leader = kReplicas;
+    RunUntil([this, &leader] {
+      for (const auto& [index, process] : processes_) {
+        if (process->Leads()) leader = index;
+      }
+      return leader != kReplicas;
+    });
+    return leader;
+  }
+  void RunUntil(const std::function<bool()>& done) {
+    const event_handle poll = loop_.Every(milliseconds(10), [this, &done] {
+      if (done()) loop_.Stop();
+    });
+    while (!done() && !late_) loop_.Run();
+    REQUIRE_FALSE(late_);
+  }
+  nlohmann::json Call(const std::string& method, const std::string& body) {
+    std::optional<http_call_result> end;
+    SendHttpRequest(loop_, *replicas_[Leader()].http,
+                    {method, "/v1/config", "", {}, body}, milliseconds(20000),
+                    [&end](const http_call_result& result) { end = result; });
+    RunUntil([&end] { return end.has_value(); });
+    REQUIRE(end->response.status == 200);
+    return nlohmann::json::parse(end->response.body);
+  }
+  std::optional<ledger_claim_reply_message> Claim(
+      const ledger_claim_message& claim) {
+    std::optional<ledger_claim_reply_message> reply;
+    bool ended = false;
+    client_->Client().Claim(claim, milliseconds(20000),
+                            [&](const auto& answer) {
+                              reply = answer;
+                              ended = true;
+                            });
+    RunUntil([&ended] { return ended; });
+    return reply;
+  }
+
+  event_loop loop_;
+  system_clock clock_;
+  metrics_registry metrics_;
+  std::string folder_;
+  bool late_ = false;
+  event_handle limit_;
+  std::vector<control_address> replicas_;
+  std::vector<socket_address> addresses_;
+  std::vector<std::unique_ptr<peer_listener>> held_;
+  std::map<std::size_t, std::unique_ptr<control_process>> processes_;
+  std::unique_ptr<control_client_link> client_;
+  std::vector<entry_address> entries_;
+  config_version version_;
+  std::string document_;
+};
+
+// Guards against parts that work alone but not together, and against state
+// that is lost with a process.
+TEST_CASE_METHOD(control_process_fixture,
+                 "control process / configuration and claim / reach the entry "
+                 "and outlive the leader") {
+  RunUntil([this] { return !entries_.empty(); });
+  CHECK(entries_[0].incarnation == incarnation_id(5));
+  const std::string base =
+      "data_centres: [nl-west-1]\n"
+      "teams:\n  geurproef: {weight: 4}\n"
+      "services:\n  geurmatch: {team: geurproef}\n";
+  const nlohmann::json change = {
+      {"base", base},
+      {"expect_version", 0},
+      {"change_id", "01900000-0000-7000-8000-000000000001"}};
+  const nlohmann::json accepted = Call("POST", change.dump());
+  CHECK(accepted["version"] == 1);
+  RunUntil([this] { return version_ == config_version(1); });
+  CHECK(config_document::Parse(document_)->base == base);
+  std::mt19937_64 random(1);
+  const ledger_claim_message claim{uuid::MakeV7(clock_.WallNow(), random),
+                                   Sha256({"content"}),
+                                   service_id("geurmatch"),
+                                   2,
+                                   entry_id("e1"),
+                                   incarnation_id(5),
+                                   clock_.WallNow()};
+  const auto first = Claim(claim);
+  REQUIRE(first.has_value());
+  CHECK(first->outcome == claim_outcome::accepted);
+
+  SECTION("the leader ends") { processes_.erase(Leader()); }
+  SECTION("all replicas and the entry restart") {
+    client_.reset();
+    processes_.clear();
+    for (std::size_t i = 0; i < kReplicas; ++i) Start(i, false);
+    StartClient();
+  }
+  CHECK(Claim(claim)->record == first->record);
+  CHECK(Call("POST", change.dump()) == accepted);
+  CHECK(Call("GET", "")["digest"] == accepted["digest"]);
+}
+
+}  // namespace
+}  // namespace almond
