--- a/src/libalmond/controllers/control/byte_buffer.h
+++ b/src/libalmond/controllers/control/byte_buffer.h
@@ -1,6 +1,8 @@
 #ifndef ALMOND_CONTROLLERS_CONTROL_BYTE_BUFFER_H_
 #define ALMOND_CONTROLLERS_CONTROL_BYTE_BUFFER_H_
 
+#include <array>
+#include <bit>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -17,10 +19,13 @@
 class byte_writer {
  public:
   void Number(std::uint64_t value) {
+    std::array<char, 10> encoded{};
+    std::size_t size = 0;
     for (; value >= 0x80U; value >>= 7U) {
-      bytes_.push_back(static_cast<char>((value & 0x7FU) | 0x80U));
+      encoded[size++] = static_cast<char>((value & 0x7FU) | 0x80U);
     }
-    bytes_.push_back(static_cast<char>(value));
+    encoded[size++] = static_cast<char>(value);
+    bytes_.append(encoded.data(), size);
   }
   template <typename Tag>
   void Number(const number_of<Tag>& value) {
@@ -32,7 +37,11 @@
   }
   /// Appends bytes of a length that the reader knows.
   void Raw(std::string_view bytes) { bytes_.append(bytes); }
-  void Id(const uuid& id) { Raw(id.Bytes()); }
+  void Id(const uuid& id) {
+    // Without the allocation of uuid::Bytes; a snapshot has many ids.
+    const auto bytes = std::bit_cast<std::array<char, uuid::kSize>>(id);
+    bytes_.append(bytes.data(), bytes.size());
+  }
   /// @param time stored in milliseconds
   void Time(wall_time time) {
     Number(static_cast<std::uint64_t>(
--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -82,6 +82,7 @@
   }
   result.data_folder = settings_.data_dir;
   result.bootstrap = settings_.bootstrap;
+  result.snapshot_after_entries = kSnapshotAfterEntries;
   return result;
 }
 
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -24,6 +24,10 @@
 /// operators' HTTP interface.
 class control_process {
  public:
+  /// Log entries between snapshots. A snapshot of a full ledger blocks the loop
+  /// for longer than several heartbeats of the log, so it has to be rare.
+  static constexpr std::size_t kSnapshotAfterEntries = 100000;
+
   /// @param loop the process's loop; outlives the process
   /// @param clock source of time; outlives the process
   control_process(event_loop& loop, const clock_interface& clock,
