--- a/tests/agent_process/agent_process_test.cc
+++ b/tests/agent_process/agent_process_test.cc
@@ -40,6 +40,15 @@
     RunUntil([this] { return link_ != nullptr; });
   }
 
+  // Calls in progress own memory that only their end frees.
+  ~agent_fixture() {
+    if (endpoint_) {
+      for (const auto& respond : tasks_) respond({200, {}, ""});
+    }
+    loop_.Post(milliseconds(20), [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
   void OnFrame(const frame& encoded) {
     const auto message = DecodeAgentMessage(encoded);
     REQUIRE(message);
@@ -57,7 +66,11 @@
     if (control) {
       respond({200, {}, "{}"});
     } else {
-      tasks_.push_back(respond);
+      // A response is sent once, also if the end of the test asks for another.
+      tasks_.push_back([respond, sent = std::make_shared<bool>(false)](
+                           const http_response& response) {
+        if (!std::exchange(*sent, true)) respond(response);
+      });
     }
   }
 
@@ -262,7 +275,6 @@
     CHECK(Await<answer_message>().outcome == start_outcome::not_sent);
     return;
   }
-  tasks_.clear();
   CHECK(agent_->Controller().Running() == 0);
 }
 
