--- a/src/libalmond/controllers/agent/agent_controller.cc
+++ b/src/libalmond/controllers/agent/agent_controller.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "libalmond/controllers/agent/agent_gauges.h"
 #include "libalmond/controllers/agent/query_answers.h"
 
 namespace almond {
@@ -105,9 +106,13 @@
   last_run_ = last_run_.Next();
   const endpoint_announcement& endpoint = endpoint_.Last();
   const steady_time now = clock_.SteadyNow();
-  runs_[last_run_] = {
-      start.name, link, endpoint.address,     endpoint.controls.stop,
-      false,      now,  now + start.time_left};
+  runs_[last_run_] = {start.name,
+                      link,
+                      endpoint.address,
+                      endpoint.controls.stop,
+                      false,
+                      now,
+                      now + std::min(start.time_left, kMaxTimeLeft)};
   runs_by_name_[start.name] = last_run_;
   suspension_.Add(last_run_, start.kind, start.size);
   metrics_.Counter("almond_starts_total").Add();
@@ -359,7 +364,7 @@
   for (const auto& action : actions.recalls) {
     hooks_.send(action.entry, recall_message{action.count});
   }
-  SetGauges();
+  SetAgentGauges(metrics_, slots_, suspension_, starts_);
 }
 
 void agent_controller::SendAnswers(slot_controller::actions& actions) {
@@ -381,20 +386,6 @@
   }
 }
 
-void agent_controller::SetGauges() {
-  const auto set = [this](const char* name, std::size_t value) {
-    metrics_.Gauge(name).Set(static_cast<double>(value));
-  };
-  set("almond_agent_slots", slots_.Capacity());
-  set("almond_agent_slots_busy", slots_.Busy());
-  set("almond_agent_slots_granted", slots_.Granted());
-  set("almond_agent_suspended_tasks", suspension_.Suspended());
-  set("almond_agent_aged_on_slot", suspension_.AgedOnSlot());
-  set("almond_agent_start_table_names", starts_.size());
-  set("almond_agent_start_table_fences", starts_.Fences());
-  set("almond_agent_answer_bytes", starts_.AnswerBytes());
-}
-
 bool agent_controller::Drained() const {
   const steady_time now = clock_.SteadyNow();
   return leaving_ && runs_.empty() &&
--- a/src/libalmond/controllers/agent/agent_controller.h
+++ b/src/libalmond/controllers/agent/agent_controller.h
@@ -25,6 +25,9 @@
   /// Time after the caller's deadline at which a task is stopped if the
   /// endpoint can, and the call to an endpoint that has gone is given up.
   static constexpr milliseconds kStopGrace{1000};
+  /// Longest time to a deadline that is taken from a message; bounds what a
+  /// wrong value does to clocks and timers.
+  static constexpr milliseconds kMaxTimeLeft{86400000};
   /// Time for which an entry gets no grant after a start that did not fit.
   static constexpr milliseconds kHoldBack{50};
   /// Time for the last answers to leave the process at a shutdown.
@@ -136,7 +139,6 @@
   void UpdateEndpoint();
   announce_message Announcement() const;
   void SendAnswers(slot_controller::actions& actions);
-  void SetGauges();
   void Wake();
 
   const clock_interface& clock_;
--- a/src/libalmond/processes/endpoint_link.cc
+++ b/src/libalmond/processes/endpoint_link.cc
@@ -1,5 +1,6 @@
 #include "libalmond/processes/endpoint_link.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -20,7 +21,8 @@
   }
   request.body = start.body;
   SendHttpRequest(
-      loop_, address, request, start.time_left + kAnswerGrace,
+      loop_, address, request,
+      std::min(start.time_left, agent_controller::kMaxTimeLeft) + kAnswerGrace,
       [run, weak = std::weak_ptr<hooks>(hooks_)](const http_call_result& end) {
         const auto callbacks = weak.lock();
         if (!callbacks) return;
