Add the load generator and answer GET for jobs that ended elsewhere

Cause: there was no open-loop load generator, and a job that had ended at another entry was reported as running.

--- /dev/null
+++ b/bench/load/load_profile.h
@@ -0,0 +1,27 @@
+#ifndef ALMOND_BENCH_LOAD_PROFILE_H_
+#define ALMOND_BENCH_LOAD_PROFILE_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libalmond/core/clock.h"
+
+namespace almond {
+
+/// A part of a run with one rate.
+struct load_step {
+  milliseconds length{0};
+  double rate = 0;  ///< tasks per second
+};
+
+/// @param text steps such as "5s:0.3x,500ms:3x,5s:120"; a rate with x is a
+///   multiple of the base rate, one without is in tasks per second
+/// @param base_rate tasks per second
+/// @returns the steps, or nothing if the text is malformed
+std::optional<std::vector<load_step>> ParseProfile(const std::string& text,
+                                                   double base_rate);
+
+}  // namespace almond
+
+#endif  // ALMOND_BENCH_LOAD_PROFILE_H_
--- a/src/libalmond/controllers/entry/submission_controller.cc
+++ b/src/libalmond/controllers/entry/submission_controller.cc
@@ -155,12 +155,10 @@
   const bool own = record.state == ledger_state::running &&
                    record.owner == self_ &&
                    record.owner_incarnation == incarnation_;
-  if (!own) {
-    Follow(id, claimed, record);
-  } else if (claimed.first_claim) {
+  if (own && claimed.first_claim) {
     // The reply to the first sending of this claim was lost on the way.
     Run(id, claimed, record.epoch);
-  } else if (given_up_.at(id)) {
+  } else if (own && given_up_.at(id)) {
     // The caller of the earlier claim has been told "not-run", so this record
     // ends without a start.
     const job_answer refused =
@@ -168,7 +166,7 @@
     Finish(id, record.epoch, refused);
     End(id, refused);
   } else {
-    // It ended here and the ledger has not heard of it yet.
+    // An own record here has ended, and the ledger has not heard of it yet.
     Follow(id, claimed, record);
   }
 }
@@ -193,9 +191,7 @@
                });
 }
 
-void submission_controller::Find(
-    const uuid& id,
-    std::function<void(const std::optional<job_answer>&)> on_answer) {
+void submission_controller::Find(const uuid& id, find_hook on_answer) {
   if (const auto* ended = ended_.Find(id)) {
     on_answer(ended->answer);
     return;
@@ -208,19 +204,16 @@
     on_answer(absent);
   } else {
     ledger_.read(
-        id, [on_answer = std::move(on_answer),
+        id, [this, on_answer = std::move(on_answer),
              absent](const std::optional<ledger_read_reply_message>& reply) {
           if (!reply) {
+            // Nothing is known, so the outcome cannot be "not-run".
             on_answer(Failure(refusal_reason::ledger_unavailable,
-                              run_outcome::not_run));
+                              run_outcome::unknown));
           } else if (!reply->record) {
             on_answer(absent);
-          } else if (reply->record->state == ledger_state::failed) {
-            job_failed failed;
-            failed.cause = reply->record->failure;
-            on_answer(failed);
           } else {
-            on_answer(std::nullopt);
+            FindOnRecord(*reply->record, on_answer);
           }
         });
   }
--- a/src/libalmond/controllers/entry/submission_controller.h
+++ b/src/libalmond/controllers/entry/submission_controller.h
@@ -45,6 +45,7 @@
 class submission_controller {
  public:
   using answer_hook = job_controller::answer_hook;
+  using find_hook = std::function<void(const std::optional<job_answer>&)>;
   /// Longest wait for the ledger's answer to a claim.
   static constexpr milliseconds kClaimTimeout{2000};
   static constexpr milliseconds kFirstPoll{200};
@@ -72,8 +73,7 @@
   /// Finds the state of a submission.
   /// @param on_answer called once with the answer, or with nothing while the
   ///   submission runs; `unknown-job` if there is none
-  void Find(const uuid& id,
-            std::function<void(const std::optional<job_answer>&)> on_answer);
+  void Find(const uuid& id, find_hook on_answer);
 
   /// @returns true if a resubmission needs no new work at this entry
   bool Knows(const uuid& id) const {
@@ -130,6 +130,7 @@
   void Collect(const uuid& id, active_submission& collected);
   void OnCollected(const uuid& id, active_submission& collected);
   void OnEndingCollected(const uuid& id, active_submission& ending);
+  void FindOnRecord(const ledger_record& record, const find_hook& on_answer);
   void Refuse(const uuid& id, refusal_reason reason, run_outcome outcome);
   void End(const uuid& id, const job_answer& answer);
   void Finish(const uuid& id, owner_epoch epoch, const job_answer& answer);
--- a/src/libalmond/controllers/entry/submission_recovery.cc
+++ b/src/libalmond/controllers/entry/submission_recovery.cc
@@ -130,4 +130,29 @@
   Finish(id, epoch, answer);
 }
 
+void submission_controller::FindOnRecord(const ledger_record& record,
+                                         const find_hook& on_answer) {
+  if (record.state == ledger_state::running) {
+    on_answer(std::nullopt);
+    return;
+  }
+  if (record.state == ledger_state::failed) {
+    job_failed failed;
+    failed.cause = record.failure;
+    on_answer(failed);
+    return;
+  }
+  const auto collector = std::make_shared<answer_collector>(
+      dispatch_, record.service, record.submission, record.task_count);
+  collector->Ask(false, record.epoch, [collector, on_answer] {
+    if (collector->Complete()) {
+      on_answer(job_complete{collector->Bodies()});
+      return;
+    }
+    job_failed lost;
+    lost.cause = {refusal_reason::answer_lost, run_outcome::unknown, ""};
+    on_answer(lost);
+  });
+}
+
 }  // namespace almond
--- a/src/libalmond/processes/entry_codec.cc
+++ b/src/libalmond/processes/entry_codec.cc
@@ -290,8 +290,8 @@
     return NotRun(refusal_reason::unknown_path,
                   request.method + " " + request.path);
   }
-  const auto id =
-      uuid::Parse(std::string_view(request.path).substr(kJobsPrefix.size()));
+  const std::string_view path = request.path;
+  const auto id = uuid::Parse(path.substr(kJobsPrefix.size()));
   if (id && id->IsV7()) return *id;
   return NotRun(refusal_reason::bad_submission_id,
                 "the path ends with a version 7 UUID");
--- a/tests/entry/dispatch_test.cc
+++ b/tests/entry/dispatch_test.cc
@@ -216,8 +216,9 @@
   // Agent 1 joins later, so that the first attempt goes to agent 0.
   net.Open(0);
   net.Run(milliseconds(50));
-  for (std::size_t i = 0; i < row.failing; ++i)
+  for (std::size_t i = 0; i < row.failing; ++i) {
     net.agents[i]->mode.fails = true;
+  }
   int answers = 0;
   bool success = false;
   requests.Submit(
--- a/tests/entry/submission_test.cc
+++ b/tests/entry/submission_test.cc
@@ -206,6 +206,46 @@
   CHECK(net_.starts.empty());
 }
 
+struct find_case {
+  ledger_state state;
+  std::size_t ended;  ///< of two tasks
+  std::optional<refusal_reason> reason;
+  bool running;
+};
+
+// Guards against a caller that is told "running" of work that has ended.
+TEST_CASE_METHOD(submission_fixture,
+                 "job state / record of another entry / state and answer") {
+  const auto row = GENERATE(
+      find_case{ledger_state::running, 1, std::nullopt, true},
+      find_case{ledger_state::complete, 2, std::nullopt, false},
+      find_case{ledger_state::complete, 1, refusal_reason::answer_lost, false},
+      find_case{ledger_state::failed, 0, refusal_reason::owner_lost, false});
+  const auto named = Make(2);
+  StartElsewhere(named, row.ended);
+  ledger_record record;
+  record.submission = named.tasks.front().name.submission;
+  record.service = service_id("s");
+  record.task_count = 2;
+  record.state = row.state;
+  record.failure = {refusal_reason::owner_lost, run_outcome::unknown, ""};
+  record_ = record;
+  bool running = false;
+  submissions_.Find(record.submission,
+                    [&](const std::optional<job_answer>& answer) {
+                      running = !answer;
+                      if (answer) answers_.push_back(*answer);
+                    });
+  Run(milliseconds(500));
+  CHECK(running == row.running);
+  REQUIRE(answers_.size() == (row.running ? 0 : 1));
+  if (row.reason) {
+    CHECK(Cause(0).reason == *row.reason);
+  } else if (!row.running) {
+    CHECK(Bodies(0).size() == 2);
+  }
+}
+
 // Guards against a takeover that starts tasks, loses answers, or is outrun by
 // late starts of the old owner.
 TEST_CASE_METHOD(submission_fixture,
--- a/tests/filters/entry_filters_test.cc
+++ b/tests/filters/entry_filters_test.cc
@@ -24,7 +24,7 @@
             [this] { return draining_; },
             [this] { return configured_ ? &config_ : nullptr; },
             {[this](const service_id&, const team_id&) { return load_; },
-             [this](const service_id&, const task_size& size) {
+             [](const service_id&, const task_size& size) {
                return size.cpu_milli <= 1000;
              },
              [this](const team_id&) { return team_queued_; },
