--- a/bench/load/load_generator.cc
+++ b/bench/load/load_generator.cc
@@ -9,6 +9,7 @@
 
 std::vector<load_step_offer> Offers(const std::vector<load_step>& profile) {
   std::vector<load_step_offer> offers;
+  offers.reserve(profile.size());
   for (const load_step& step : profile) {
     offers.push_back({step.length, step.rate, 0});
   }
