--- a/src/agentd/main.cc
+++ b/src/agentd/main.cc
@@ -6,6 +6,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/net/event_loop.h"
+#include "libalmond/processes/agent_control.h"
 #include "libalmond/processes/agent_process.h"
 
 DEFINE_string(id, "", "Name of this agent, unique among all agents; required.");
@@ -19,7 +20,7 @@
               "the directory; separated by commas.");
 DEFINE_string(control, "",
               "Addresses IP:PORT of the control processes, separated by "
-              "commas.");
+              "commas; required.");
 DEFINE_int32(drain_timeout, 120,
              "Longest time for running tasks to finish after SIGTERM, in "
              "seconds, 1 to 86400.");
@@ -91,8 +92,8 @@
                  FLAGS_entries + "\"");
   }
   const auto control = socket_address::ParseList(FLAGS_control);
-  if (!control) {
-    return Wrong("--control: expected a list of IP:PORT, got \"" +
+  if (!control || control->empty()) {
+    return Wrong("--control: expected a list of at least one IP:PORT, got \"" +
                  FLAGS_control + "\"");
   }
   constexpr int kMaxDrainTimeout = 86400;
@@ -102,9 +103,11 @@
   ConfigureLogging("almond-agentd");
   event_loop loop;
   const system_clock clock;
-  agent_process agent(loop, clock,
-                      {agent_id(FLAGS_id), data_centre_id(FLAGS_data_centre),
-                       *listen, *entries, *control});
+  const agent_settings settings{agent_id(FLAGS_id),
+                                data_centre_id(FLAGS_data_centre), *listen,
+                                *entries, *control};
+  agent_process agent(loop, clock, settings);
+  const agent_control with_control(loop, clock, settings, agent);
   if (!agent.Start()) {
     return Wrong("--listen_http: cannot listen on " + FLAGS_listen_http);
   }
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -8,6 +8,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/net/event_loop.h"
+#include "libalmond/processes/entry_control.h"
 #include "libalmond/processes/entry_process.h"
 
 DEFINE_string(id, "entry-1", "Name of this entry, unique among the entries");
@@ -18,7 +19,8 @@
 DEFINE_string(listen_peer, "127.0.0.1:7080",
               "IP:PORT for agents; port 0 takes a free one");
 DEFINE_string(control, "",
-              "IP:PORT list of the control processes, separated by commas");
+              "IP:PORT list of the control processes, separated by commas; "
+              "required");
 DEFINE_int32(drain_delay, 1000,
              "Milliseconds from the failing health check to the closing of "
              "the listener, 0 to 60000");
@@ -48,8 +50,9 @@
   if (FLAGS_id.empty()) error = "--id is empty";
   if (!http) error = "--listen_http is not IP:PORT: " + FLAGS_listen_http;
   if (!peer) error = "--listen_peer is not IP:PORT: " + FLAGS_listen_peer;
-  if (!socket_address::ParseList(FLAGS_control)) {
-    error = "--control is not a list of IP:PORT: " + FLAGS_control;
+  const auto control = socket_address::ParseList(FLAGS_control);
+  if (!control || control->empty()) {
+    error = "--control is not a list of at least one IP:PORT: " + FLAGS_control;
   }
   CheckRange("drain_delay", FLAGS_drain_delay, kMaxDrainDelay, error);
   CheckRange("drain_timeout", FLAGS_drain_timeout, kMaxDrainTimeout, error);
@@ -63,11 +66,13 @@
 
 /// Runs until a signal ends the process.
 /// @returns the exit code
-int RunEntry(const entry_settings& settings) {
+int RunEntry(const entry_settings& settings,
+             const std::vector<socket_address>& control) {
   ConfigureLogging("almond-entryd");
   event_loop loop;
   system_clock clock;
   entry_process entry(loop, clock, settings);
+  const entry_control with_control(loop, clock, settings, entry, control);
   if (!entry.Start()) {
     LOG(ERROR) << "cannot listen on " << settings.listen_http.ToString()
                << " or " << settings.listen_peer.ToString();
@@ -117,5 +122,6 @@
     std::cerr << "almond-entryd: " << error << "\n";
     return EXIT_FAILURE;
   }
-  return almond::RunEntry(*settings);
+  return almond::RunEntry(*settings,
+                          *almond::socket_address::ParseList(FLAGS_control));
 }
--- a/src/libalmond/controllers/agent/start_table.h
+++ b/src/libalmond/controllers/agent/start_table.h
@@ -20,10 +20,10 @@
  public:
   struct limits {
     /// Time for which ended and fenced names are kept. It exceeds the ledger's
-    /// window (10 min) by the margin below and the longest run of a task, so
-    /// that a submission that the ledger accepts is never taken for an expired
-    /// one.
-    duration retention = std::chrono::minutes(15);
+    /// window (10 min) by the longest timeout of a request (10 min) and twice
+    /// the margin below, so that a submission that the ledger accepts is never
+    /// taken for an expired one.
+    duration retention = std::chrono::minutes(25);
     /// Time for which the bare name of a forgotten task is kept. A query that
     /// was on its way over an older connection arrives within the silence limit
     /// of links (3 s), and must not be told `never`.
--- a/src/libalmond/processes/agent_entry_links.cc
+++ b/src/libalmond/processes/agent_entry_links.cc
@@ -10,14 +10,14 @@
 
 void agent_entry_links::SetEntries(const std::vector<socket_address>& entries) {
   for (auto position = entries_.begin(); position != entries_.end();) {
-    if (std::find(entries.begin(), entries.end(), position->first) !=
-        entries.end()) {
+    const bool listed = std::find(entries.begin(), entries.end(),
+                                  position->first) != entries.end();
+    if (listed || position->second.link != link_id()) {
       ++position;
       continue;
     }
     LOG(INFO) << "entry " << position->first.ToString()
               << " is no longer listed";
-    EndLink(position->second);
     position = entries_.erase(position);
   }
   for (const socket_address& address : entries) {
--- a/src/libalmond/processes/agent_entry_links.h
+++ b/src/libalmond/processes/agent_entry_links.h
@@ -31,7 +31,9 @@
         metrics_(metrics),
         hooks_(std::move(callbacks)) {}
 
-  /// Dials exactly these entries; closes the connections to others.
+  /// Dials these entries and gives up others that are not connected. A
+  /// connected entry is kept: a directory that was just rebuilt lists only some
+  /// of the live entries.
   void SetEntries(const std::vector<socket_address>& entries);
   /// Sends a message; dropped if that connection has ended.
   void Send(link_id link, const agent_message& message);
--- a/src/libalmond/processes/agent_process.h
+++ b/src/libalmond/processes/agent_process.h
@@ -72,7 +72,7 @@
   /// @param on_drained called when no task runs and no grant can still arrive
   void Leave(std::function<void()> on_drained);
 
-  /// Dials exactly these entries, besides those of the settings.
+  /// Dials these entries, besides those of the settings.
   /// @param entries addresses that the directory lists
   void SetEntries(const std::vector<socket_address>& entries);
   /// Sends a message to an entry; dropped if the connection has ended.
--- a/src/libalmond/processes/entry_http.cc
+++ b/src/libalmond/processes/entry_http.cc
@@ -1,3 +1,4 @@
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "libalmond/processes/entry_codec.h"
@@ -26,7 +27,12 @@
   if (!config_) return {503, {}, R"({"reason":"no-configuration"})"};
   const std::string reason = hooks_.unhealthy ? hooks_.unhealthy() : "";
   if (!reason.empty()) return {503, {}, R"({"reason":")" + reason + "\"}"};
-  return {200, {}, "{}"};
+  nlohmann::json body = {{"state", "active"}};
+  if (hooks_.config_report) {
+    body["config"] = nlohmann::json::parse(hooks_.config_report().body, nullptr,
+                                           /*allow_exceptions=*/false);
+  }
+  return {200, {}, body.dump()};
 }
 
 void entry_process::OnJobRequest(const http_request& request,
--- a/tests/agent/agent_schedule_test.cc
+++ b/tests/agent/agent_schedule_test.cc
@@ -344,7 +344,7 @@
       Fail("memory leaked");
     }
     if (!agent_->Drained()) Fail("not drained");
-    clock_.Advance(std::chrono::minutes(16));
+    clock_.Advance(start_table::limits().retention + std::chrono::minutes(1));
     agent_->Tick();
     if (agent_->Starts().size() != 0) Fail("names leaked");
     if (agent_->Starts().AnswerBytes() != 0) Fail("answer bytes leaked");
--- a/tests/agent/start_table_test.cc
+++ b/tests/agent/start_table_test.cc
@@ -94,7 +94,7 @@
   }
   SECTION("expired") {
     End(0, start_outcome::done, "x");
-    clock_.Advance(std::chrono::minutes(15));
+    clock_.Advance(start_table::limits().retention);
   }
   SECTION("answer dropped for room") {
     End(0, start_outcome::done, "123456");
@@ -136,7 +136,7 @@
   CHECK(table_.Begin(Task(6), {}) == begin::accepted);
   CHECK(table_.Begin(Task(3), {}) == begin::fenced);
   for (const std::uint32_t i : {1, 2, 6}) End(i, start_outcome::done);
-  clock_.Advance(std::chrono::minutes(15));
+  clock_.Advance(start_table::limits().retention);
   table_.Expire();
   CHECK(table_.size() == 0);
   CHECK(table_.Fences() == 0);
