Tell each agent its part of the backlog

Every agent was told the whole backlog, so for one queued task each of 11 agents suspended a long task and granted a slot. Ruled out: the choice of the paused task (one task is enough to show it). Change: the backlog is split over the agents, the rest going round at each tick; a start carries the agent's part.

--- a/src/libalmond/controllers/entry/dispatch_controller.cc
+++ b/src/libalmond/controllers/entry/dispatch_controller.cc
@@ -134,7 +134,10 @@
       std::chrono::duration_cast<milliseconds>(item.work.deadline - now);
   start.size = item.work.size;
   start.named_submission = item.work.named_submission;
-  start.backlog = static_cast<std::uint32_t>(backlog);
+  // The agent's part of the backlog, rounded up: it frees the next slot.
+  const std::size_t agents =
+      std::max<std::size_t>(1, Service(item.work.service).agents.size());
+  start.backlog = static_cast<std::uint32_t>((backlog + agents - 1) / agents);
   agent.told_backlog = start.backlog;
   flight record;
   record.item = std::move(item);
--- a/src/libalmond/controllers/entry/dispatch_controller.h
+++ b/src/libalmond/controllers/entry/dispatch_controller.h
@@ -125,6 +125,8 @@
     double usual_success = 1;  ///< mean of the agents that are not ejected
     std::optional<steady_time> refused;  ///< last refusal for lack of slots
     steady_time last_queued;             ///< last tick that found queued tasks
+    /// Place in the list of agents from which a small backlog is told.
+    std::size_t demand_turn = 0;
   };
   struct pending_query {
     link_id link;
--- a/src/libalmond/controllers/entry/dispatch_tick.cc
+++ b/src/libalmond/controllers/entry/dispatch_tick.cc
@@ -81,14 +81,21 @@
 
 void dispatch_controller::TellDemand(const service_id& service) {
   const service_state& state = Service(service);
-  const auto queued = static_cast<std::uint32_t>(state.queue.size());
+  const std::size_t queued = state.queue.size();
+  std::size_t place = state.demand_turn;
   const bool overloaded =
       state.refused && *state.refused + kOverloadMemory > clock_.SteadyNow();
   for (const agent_id& id : state.agents) {
     agent_record& agent = agents_.at(id);
     if (!agent.Usable()) continue;
-    // An ejected endpoint gets probes only; its slots are free for others.
-    const std::uint32_t backlog = agent.health.Ejected() ? 0 : queued;
+    // Each agent is told its part of the backlog: with the whole of it, every
+    // agent would suspend a long task for the same queued task. An ejected
+    // endpoint gets probes only; its slots are free for others.
+    const std::size_t agents = state.agents.size();
+    const std::size_t part =
+        queued / agents + (place++ % agents < queued % agents ? 1 : 0);
+    const auto backlog =
+        agent.health.Ejected() ? 0U : static_cast<std::uint32_t>(part);
     // Starts carry the backlog; a message of its own is sent only when the
     // backlog appears or doubles. That it has gone is told by WithdrawDemand.
     const bool changed = backlog >= 2 * agent.told_backlog + 1;
@@ -105,7 +112,11 @@
   // to every agent for each change would outnumber the tasks.
   service_state& state = Service(service);
   const steady_time now = clock_.SteadyNow();
-  if (!state.queue.empty()) state.last_queued = now;
+  if (!state.queue.empty()) {
+    state.last_queued = now;
+    // A few queued tasks are told to other agents in turn, until one has room.
+    ++state.demand_turn;
+  }
   if (state.last_queued + kDemandMemory > now) return;
   for (const agent_id& id : state.agents) {
     agent_record& agent = agents_.at(id);
