Make refusals of named submissions true of the submission

Cause: an entry refused a named submission as not-run from its own state, although an earlier request with the same id may have run elsewhere. A cancellation during the claim was lost, and one of work at another entry was answered as if it had been made. Change: refused named submissions are looked up in the ledger and follow the record; without an answer, with an id older than 9 minutes, or without a digest to compare, the outcome is unknown. ledger-unavailable on a claim and submission-conflict are unknown. The draining filter is an admission filter, so that the content is complete for the lookup. Cancel says what it has done; DELETE answers 202 cancelling or 409 runs-elsewhere. The sanitizer build was not run.

--- a/src/libalmond/controllers/entry/submission_controller.cc
+++ b/src/libalmond/controllers/entry/submission_controller.cc
@@ -8,6 +8,11 @@
 namespace almond {
 namespace {
 
+/// The id may have been accepted for an earlier request, so the outcome of the
+/// submission is unknown although this request has started nothing.
+const refusal kNoLedger{refusal_reason::ledger_unavailable,
+                        run_outcome::unknown, ""};
+
 job_answer Failure(refusal_reason reason, run_outcome outcome) {
   job_failed failed;
   failed.cause = {reason, outcome, ""};
@@ -49,29 +54,33 @@
   return &found->second;
 }
 
-void submission_controller::Submit(named_submission submitted,
-                                   answer_hook on_answer) {
-  const uuid id = submitted.tasks.front().name.submission;
+bool submission_controller::Join(const uuid& id, named_submission& submitted,
+                                 answer_hook& on_answer) {
   const auto active = active_.find(id);
   const ended_jobs::entry* ended = ended_.Find(id);
   const std::string* digest = nullptr;
   if (ended != nullptr) digest = &ended->digest;
   if (active != active_.end()) digest = &active->second.digest;
   // A submission taken over has no digest here; the ledger compares it.
-  if (digest != nullptr && !digest->empty() && *digest != submitted.digest) {
+  // Work under the id may have run with its first content.
+  if (digest != nullptr && !digest->empty() && !submitted.digest.empty() &&
+      *digest != submitted.digest) {
     on_answer(
-        Failure(refusal_reason::submission_conflict, run_outcome::not_run));
-    return;
+        Failure(refusal_reason::submission_conflict, run_outcome::unknown));
+    return true;
   }
   if (active != active_.end()) {
     active->second.waiters.push_back(
         {submitted.deadline, std::move(on_answer)});
-    return;
-  }
-  if (ended != nullptr) {
-    on_answer(ended->answer);
-    return;
+    return true;
   }
+  if (ended == nullptr) return false;
+  on_answer(ended->answer);
+  return true;
+}
+
+submission_controller::active_submission& submission_controller::Activate(
+    const uuid& id, named_submission submitted, answer_hook on_answer) {
   active_submission& added = active_[id];
   added.attempt = ++last_attempt_;
   added.digest = std::move(submitted.digest);
@@ -80,12 +89,29 @@
   added.task_count = static_cast<std::uint32_t>(added.tasks.size());
   added.deadline = submitted.deadline;
   added.waiters.push_back({submitted.deadline, std::move(on_answer)});
-  Claim(id, added);
+  return added;
+}
+
+void submission_controller::Submit(named_submission submitted,
+                                   answer_hook on_answer) {
+  const uuid id = submitted.tasks.front().name.submission;
+  if (Join(id, submitted, on_answer)) return;
+  Claim(id, Activate(id, std::move(submitted), std::move(on_answer)));
+}
+
+cancel_outcome submission_controller::Cancel(const uuid& submission) {
+  if (jobs_.Cancel(submission)) return cancel_outcome::cancelling;
+  const auto found = active_.find(submission);
+  if (found == active_.end() || found->second.state != phase::claiming) {
+    return cancel_outcome::not_here;
+  }
+  found->second.cancelled = true;
+  return cancel_outcome::cancelling;
 }
 
 void submission_controller::Claim(const uuid& id, active_submission& claimed) {
   if (!ledger_.claim) {
-    Refuse(id, refusal_reason::ledger_unavailable, run_outcome::not_run);
+    Refuse(id, kNoLedger);
     return;
   }
   const steady_time now = clock_.SteadyNow();
@@ -118,7 +144,7 @@
     return;
   }
   if (!reply) {
-    Refuse(id, refusal_reason::ledger_unavailable, run_outcome::not_run);
+    Refuse(id, kNoLedger);
     return;
   }
   switch (reply->outcome) {
@@ -129,21 +155,23 @@
       OnExists(id, *claimed, reply->record);
       return;
     case claim_outcome::conflict:
-      Refuse(id, refusal_reason::submission_conflict, run_outcome::not_run);
+      Refuse(id,
+             {refusal_reason::submission_conflict, run_outcome::unknown, ""});
       return;
     case claim_outcome::expired:
-      Refuse(id, refusal_reason::submission_expired, run_outcome::unknown);
+      Refuse(id,
+             {refusal_reason::submission_expired, run_outcome::unknown, ""});
       return;
     case claim_outcome::too_new:
-      Refuse(id, refusal_reason::bad_submission_id, run_outcome::not_run);
+      Refuse(id, {refusal_reason::bad_submission_id, run_outcome::not_run, ""});
       return;
   }
 }
 
 void submission_controller::OnLateClaim(
     const uuid& id, const std::optional<ledger_claim_reply_message>& reply) {
-  // The caller has been told "not-run", so the accepted record must end
-  // without a start.
+  // The caller has been refused, so the accepted record must end without a
+  // start.
   if (!reply || reply->outcome != claim_outcome::accepted) return;
   if (active_.count(id) > 0 || ended_.Find(id) != nullptr) return;
   Finish(id, reply->record.epoch,
@@ -152,32 +180,24 @@
 
 void submission_controller::OnExists(const uuid& id, active_submission& claimed,
                                      const ledger_record& record) {
-  const bool own = record.state == ledger_state::running &&
-                   record.owner == self_ &&
-                   record.owner_incarnation == incarnation_;
-  if (own && claimed.first_claim) {
+  if (IsOwn(record) && claimed.first_claim) {
     // The reply to the first sending of this claim was lost on the way.
     Run(id, claimed, record.epoch);
-  } else if (own && given_up_.at(id)) {
-    // The caller of the earlier claim has been told "not-run", so this record
-    // ends without a start.
-    const job_answer refused =
-        Failure(refusal_reason::ledger_unavailable, run_outcome::not_run);
-    Finish(id, record.epoch, refused);
-    End(id, refused);
   } else {
-    // An own record here has ended, and the ledger has not heard of it yet.
-    Follow(id, claimed, record);
+    OnKnown(id, claimed, record);
   }
 }
 
 void submission_controller::Run(const uuid& id, active_submission& claimed,
                                 owner_epoch epoch) {
-  if (claimed.deadline <= clock_.SteadyNow()) {
-    const job_answer late =
-        Failure(refusal_reason::deadline_in_queue, run_outcome::not_run);
-    Finish(id, epoch, late);
-    End(id, late);
+  const bool late = claimed.deadline <= clock_.SteadyNow();
+  if (late || claimed.cancelled) {
+    const job_answer ended =
+        Failure(claimed.cancelled ? refusal_reason::cancelled
+                                  : refusal_reason::deadline_in_queue,
+                run_outcome::not_run);
+    Finish(id, epoch, ended);
+    End(id, ended);
     return;
   }
   claimed.state = phase::running;
@@ -198,7 +218,8 @@
   }
   const job_answer absent =
       Failure(refusal_reason::unknown_job, run_outcome::unknown);
-  if (active_.count(id) > 0) {
+  const auto active = active_.find(id);
+  if (active != active_.end() && active->second.state != phase::looking_up) {
     on_answer(std::nullopt);
   } else if (!ledger_.read) {
     on_answer(absent);
@@ -219,16 +240,16 @@
   }
 }
 
-void submission_controller::Refuse(const uuid& id, refusal_reason reason,
-                                   run_outcome outcome) {
+void submission_controller::Refuse(const uuid& id, const refusal& cause) {
   const auto found = active_.find(id);
   const std::vector<waiter> waiters = std::move(found->second.waiters);
   const auto claim = given_up_.find(id);
   if (claim != given_up_.end() && found->second.state == phase::claiming) {
     claim->second = true;
   }
+  job_failed answer;
+  answer.cause = cause;
   active_.erase(found);
-  const job_answer answer = Failure(reason, outcome);
   for (const waiter& caller : waiters) caller.on_answer(answer);
 }
 
@@ -273,9 +294,12 @@
   if (found == active_.end()) return;
   active_submission& waiting = found->second;
   const steady_time now = clock_.SteadyNow();
-  if (waiting.state == phase::claiming) {
+  if (waiting.state == phase::claiming || waiting.state == phase::looking_up) {
     if (waiting.next_poll > now) return;
-    Refuse(id, refusal_reason::ledger_unavailable, run_outcome::not_run);
+    refusal cause =
+        waiting.state == phase::claiming ? kNoLedger : waiting.cause;
+    cause.outcome = run_outcome::unknown;
+    Refuse(id, cause);
     return;
   }
   const std::uint64_t attempt = waiting.attempt;
--- a/src/libalmond/controllers/entry/submission_controller.h
+++ b/src/libalmond/controllers/entry/submission_controller.h
@@ -34,6 +34,12 @@
   steady_time deadline;
 };
 
+/// What became of a request to cancel a submission.
+enum class cancel_outcome : std::uint8_t {
+  cancelling,  ///< its tasks here are being stopped, or will not start
+  not_here     ///< it does not run at this entry; nothing was done
+};
+
 /// @param tasks of one submission
 /// @returns digest of service, kind, team, bodies and sizes
 std::string SubmissionDigest(const std::vector<task>& tasks);
@@ -55,6 +61,10 @@
   /// Time for which claimed ids are remembered; longer than the ledger's
   /// window, so that no id is forgotten while it can be claimed.
   static constexpr std::chrono::minutes kRemember{12};
+  /// Age of an id up to which its absence from the ledger proves that it was
+  /// never accepted. One minute shorter than the ledger's window, since the
+  /// clocks of the entry and the ledger may differ.
+  static constexpr std::chrono::minutes kProvenAbsence{9};
 
   submission_controller(const clock_interface& clock,
                         dispatch_controller& dispatch, job_controller& jobs,
@@ -65,10 +75,20 @@
 
   /// @param on_answer called once
   void Submit(named_submission submitted, answer_hook on_answer);
+  /// Answers a named submission that this entry refuses. If the ledger knows
+  /// the id, its record is followed without new work; if not, the refusal is
+  /// true for the submission. Without an answer of the ledger, or with an id
+  /// older than kProvenAbsence, the refusal's outcome is unknown.
+  /// @param submitted an empty digest if the content could not be completed;
+  ///   a record then gives the refusal with outcome unknown
+  /// @param cause why this request is refused
+  /// @param on_answer called once
+  void SubmitRefused(named_submission submitted, refusal cause,
+                     answer_hook on_answer);
   /// Ends a submission whose owner died. Nothing is started for it.
   void TakeOver(const ledger_record& record);
-  /// @returns false if the submission does not run at this entry
-  bool Cancel(const uuid& submission) { return jobs_.Cancel(submission); }
+  /// Cancels a submission that runs here, or whose claim is under way.
+  cancel_outcome Cancel(const uuid& submission);
 
   /// Finds the state of a submission.
   /// @param on_answer called once with the answer, or with nothing while the
@@ -87,6 +107,7 @@
  private:
   enum class phase : std::uint8_t {
     claiming,    ///< the ledger has been asked
+    looking_up,  ///< refused here; the ledger is asked for an earlier run
     running,     ///< the tasks run at this entry
     elsewhere,   ///< another entry runs it; the ledger is polled
     collecting,  ///< it is complete; agents are asked for the answers
@@ -100,6 +121,8 @@
     std::uint64_t attempt = 0;  ///< binds callbacks to this record
     phase state = phase::claiming;
     bool first_claim = true;
+    bool cancelled = false;  ///< while claiming
+    refusal cause;           ///< while looking up: why it is refused
     std::string digest;
     std::vector<task> tasks;
     std::vector<waiter> waiters;
@@ -115,6 +138,17 @@
     std::shared_ptr<answer_collector> collector;
   };
 
+  /// @returns true if the submission is known here; it has then been answered
+  ///   or joined
+  bool Join(const uuid& id, named_submission& submitted,
+            answer_hook& on_answer);
+  active_submission& Activate(const uuid& id, named_submission submitted,
+                              answer_hook on_answer);
+  void OnLookedUp(const uuid& id, std::uint64_t attempt,
+                  const std::optional<ledger_read_reply_message>& reply);
+  void OnKnown(const uuid& id, active_submission& known,
+               const ledger_record& record);
+  bool IsOwn(const ledger_record& record) const;
   active_submission* Get(const uuid& id, std::uint64_t attempt);
   void Claim(const uuid& id, active_submission& claimed);
   void OnClaim(const uuid& id, std::uint64_t attempt,
@@ -131,7 +165,7 @@
   void OnCollected(const uuid& id, active_submission& collected);
   void OnEndingCollected(const uuid& id, active_submission& ending);
   void FindOnRecord(const ledger_record& record, const find_hook& on_answer);
-  void Refuse(const uuid& id, refusal_reason reason, run_outcome outcome);
+  void Refuse(const uuid& id, const refusal& cause);
   void End(const uuid& id, const job_answer& answer);
   void Finish(const uuid& id, owner_epoch epoch, const job_answer& answer);
   void TickOne(const uuid& id);
--- a/src/libalmond/controllers/entry/submission_recovery.cc
+++ b/src/libalmond/controllers/entry/submission_recovery.cc
@@ -72,7 +72,7 @@
   if (collected.collector->Complete()) {
     End(id, job_complete{collected.collector->Bodies()});
   } else if (collected.settled_by <= clock_.SteadyNow()) {
-    Refuse(id, refusal_reason::answer_lost, run_outcome::unknown);
+    Refuse(id, {refusal_reason::answer_lost, run_outcome::unknown, ""});
   }
 }
 
--- a/src/libalmond/filters/entry_filters.cc
+++ b/src/libalmond/filters/entry_filters.cc
@@ -15,7 +15,6 @@
 
 filter_chain MakeEntryFilters(const entry_filter_inputs& inputs) {
   return filter_chain({
-      MakeDrainingFilter(inputs.draining),
       MakeServiceFilter(inputs.config),
       MakeTeamFilter(inputs.config),
       MakeSizeFilter(),
@@ -26,6 +25,7 @@
 
 filter_chain MakeAdmissionFilters(const entry_filter_inputs& inputs) {
   return filter_chain({
+      MakeDrainingFilter(inputs.draining),
       MakeEndpointFilter(inputs.state),
       MakeCapacityFilter(inputs.state),
       MakeQuotaFilter(inputs.state, inputs.config),
--- a/src/libalmond/processes/entry_codec.cc
+++ b/src/libalmond/processes/entry_codec.cc
@@ -308,6 +308,27 @@
   return response;
 }
 
+bool IsJobState(const refusal& cause) {
+  // A job may have ended as `ledger-unavailable`, but then as not run.
+  return cause.reason != refusal_reason::unknown_job &&
+         (cause.reason != refusal_reason::ledger_unavailable ||
+          cause.outcome == run_outcome::not_run);
+}
+
+http_response RunningResponse(std::optional<cancel_outcome> cancelled) {
+  if (!cancelled) return JsonResponse(202, {{"state", "running"}});
+  if (*cancelled == cancel_outcome::cancelling) {
+    return JsonResponse(202, {{"state", "cancelling"}});
+  }
+  const std::string_view outcome = Name(run_outcome::unknown);
+  http_response response =
+      JsonResponse(kConflict, {{"state", "running"},
+                               {"reason", "runs-elsewhere"},
+                               {"outcome", outcome}});
+  response.headers.emplace_back("Almond-Outcome", outcome);
+  return response;
+}
+
 http_response RequestResponse(const job_answer& answer) {
   if (const auto* failed = std::get_if<job_failed>(&answer)) {
     return RefusalResponse(failed->cause);
--- a/src/libalmond/processes/entry_codec.h
+++ b/src/libalmond/processes/entry_codec.h
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "libalmond/controllers/entry/job_controller.h"
+#include "libalmond/controllers/entry/submission_controller.h"
 #include "libalmond/core/outcome.h"
 #include "libalmond/filters/request_context.h"
 #include "libalmond/net/http_message.h"
@@ -29,6 +30,14 @@
 /// @returns the response to a refused or failed request
 http_response RefusalResponse(const refusal& refused);
 
+/// @param cause of a failed answer to GET or DELETE of a job
+/// @returns false if it tells that the job's state could not be found
+bool IsJobState(const refusal& cause);
+
+/// @param cancelled what a DELETE has done, nothing for a GET
+/// @returns the response about a job that has not ended
+http_response RunningResponse(std::optional<cancel_outcome> cancelled);
+
 /// @returns the response to a single request
 http_response RequestResponse(const job_answer& answer);
 
--- a/src/libalmond/processes/entry_http.cc
+++ b/src/libalmond/processes/entry_http.cc
@@ -43,22 +43,21 @@
     return;
   }
   const uuid submission = std::get<uuid>(path);
-  if (request.method == "DELETE") submissions_.Cancel(submission);
-  submissions_.Find(
-      submission, [this, respond](const std::optional<job_answer>& answer) {
-        if (!answer) {
-          respond({202, {}, R"({"state":"running"})"});
-          return;
-        }
-        const auto* failed = std::get_if<job_failed>(&*answer);
-        const bool absent = failed != nullptr &&
-                            failed->cause.reason == refusal_reason::unknown_job;
-        if (absent) {
-          Refuse(failed->cause, respond);
-        } else {
-          respond(JobResponse(*answer));
-        }
-      });
+  std::optional<cancel_outcome> cancelled;
+  if (request.method == "DELETE") cancelled = submissions_.Cancel(submission);
+  submissions_.Find(submission, [this, respond, cancelled](
+                                    const std::optional<job_answer>& answer) {
+    if (!answer) {
+      respond(RunningResponse(cancelled));
+      return;
+    }
+    const auto* failed = std::get_if<job_failed>(&*answer);
+    if (failed != nullptr && !IsJobState(failed->cause)) {
+      Refuse(failed->cause, respond);
+    } else {
+      respond(JobResponse(*answer));
+    }
+  });
 }
 
 void entry_process::Refuse(const refusal& refused,
@@ -76,29 +75,56 @@
   }
   auto& context = std::get<request_context>(parsed);
   if (const auto refused = filters_.Run(context)) {
-    Refuse(*refused, respond);
+    RefuseSubmission(context, /*complete=*/false, *refused, respond);
     return;
   }
   const bool known =
       context.submission && submissions_.Knows(*context.submission);
   if (!known) {
     if (const auto refused = admission_.Run(context)) {
-      Refuse(*refused, respond);
+      RefuseSubmission(context, /*complete=*/true, *refused, respond);
       return;
     }
   }
   Submit(context, respond);
 }
 
-void entry_process::Submit(request_context& context,
-                           const http_server::responder& respond) {
-  auto on_answer = [this, respond,
-                    is_job = context.is_job](const job_answer& answer) {
+void entry_process::RefuseSubmission(request_context& context, bool complete,
+                                     const refusal& refused,
+                                     const http_server::responder& respond) {
+  if (!context.submission) {
+    Refuse(refused, respond);
+    return;
+  }
+  // An earlier request with this id may have been accepted, here or under
+  // other settings. Without the settings the content has no digest.
+  named_submission named;
+  named.tasks = MakeTasks(context);
+  named.deadline = context.deadline;
+  if (complete) {
+    named.digest = SubmissionDigest(named.tasks);
+  } else {
+    named.deadline =
+        clock_.SteadyNow() +
+        context.timeout.value_or(submission_controller::kClaimTimeout);
+  }
+  submissions_.SubmitRefused(std::move(named), refused,
+                             AnswerHook(context.is_job, respond));
+}
+
+job_controller::answer_hook entry_process::AnswerHook(
+    bool is_job, const http_server::responder& respond) {
+  return [this, respond, is_job](const job_answer& answer) {
     if (const auto* failed = std::get_if<job_failed>(&answer)) {
       metrics_.Refusals(failed->cause.reason).Add();
     }
     respond(is_job ? JobResponse(answer) : RequestResponse(answer));
   };
+}
+
+void entry_process::Submit(request_context& context,
+                           const http_server::responder& respond) {
+  auto on_answer = AnswerHook(context.is_job, respond);
   std::vector<task> tasks = MakeTasks(context);
   if (!context.submission) {
     // Jobs are not repeated, even with a single task.
--- a/src/libalmond/processes/entry_process.h
+++ b/src/libalmond/processes/entry_process.h
@@ -106,6 +106,12 @@
                     const http_server::responder& respond);
   void Submit(request_context& context, const http_server::responder& respond);
   void Refuse(const refusal& refused, const http_server::responder& respond);
+  /// @param complete the request has passed the first filter chain
+  void RefuseSubmission(request_context& context, bool complete,
+                        const refusal& refused,
+                        const http_server::responder& respond);
+  job_controller::answer_hook AnswerHook(bool is_job,
+                                         const http_server::responder& respond);
   http_response Health() const;
   std::vector<task> MakeTasks(request_context& context);
 
