Check incarnations of answers and set aside tasks that do not fit

Cause: an answer was accepted from another incarnation of the agent; a query's answer counted as whole after its first message; names of tasks that were given up were never forgotten; a task that did not fit an agent right now came back to the head of the queue and took the next grants until its attempts were used up. Change: answers need the link and the incarnation of the start. Query answers are gathered until each name is reported. Late answers of given-up plain tasks go into the next forget. A task with declared sizes that was not sent goes to the end of the queue, and its agent gets no task of that size for 100 ms or until a task ends there; such attempts are not counted. Before: 4 of the 5 new test cases failed on the unchanged sources. The fifth, answers crossed with a later start, passed already. The sanitizer build was not run. Conclusion: a refused start cannot requeue a task of another start, as far as link and incarnation tell starts apart.

--- a/src/libalmond/controllers/entry/dispatch_controller.cc
+++ b/src/libalmond/controllers/entry/dispatch_controller.cc
@@ -96,10 +96,7 @@
       passed_over.push_back(std::move(*item));
     }
   }
-  while (!passed_over.empty()) {
-    state.queue.PushFront(std::move(passed_over.back()));
-    passed_over.pop_back();
-  }
+  PutBack(state, std::move(passed_over));
   state.rate.SetBacklogged(now, !state.queue.empty());
   TellDemand(service);
   for (queued_task& item : expired) {
@@ -107,10 +104,29 @@
   }
 }
 
+void dispatch_controller::PutBack(service_state& state,
+                                  std::vector<queued_task> passed_over) {
+  // If all tasks that may be passed over fit nowhere right now, those with
+  // declared sizes go to the end, or they would block the tasks behind them.
+  const bool blocked = passed_over.size() >= kMaxPassedOver;
+  std::vector<queued_task> front;
+  for (queued_task& item : passed_over) {
+    if (blocked && HasSizes(item.work)) {
+      state.queue.Push(std::move(item));
+    } else {
+      front.push_back(std::move(item));
+    }
+  }
+  for (auto item = front.rbegin(); item != front.rend(); ++item) {
+    state.queue.PushFront(std::move(*item));
+  }
+}
+
 bool dispatch_controller::TryStart(service_state& state, queued_task& item) {
+  const steady_time now = clock_.SteadyNow();
   const auto fits = [&](link_id link) {
     const agent_record* agent = ByLink(link);
-    return agent != nullptr && agent->Fits(item.work.size);
+    return agent != nullptr && agent->FitsNow(item.work.size, now);
   };
   const auto avoided = agents_.find(item.avoid);
   const auto grant = state.grants.Take(
--- a/src/libalmond/controllers/entry/dispatch_controller.h
+++ b/src/libalmond/controllers/entry/dispatch_controller.h
@@ -48,6 +48,9 @@
   static constexpr milliseconds kDemandMemory{200};
   /// Time over which answered names are collected into one message per agent.
   static constexpr milliseconds kForgetPeriod{1000};
+  /// Time for which an agent that could not start a task with declared sizes
+  /// gets no other of at least its size, unless a task ends there before.
+  static constexpr milliseconds kFitDelay{100};
   /// Tasks that are passed over when no granted endpoint is large enough.
   static constexpr std::size_t kMaxPassedOver = 8;
 
@@ -129,6 +132,10 @@
   struct pending_query {
     link_id link;
     query_hook on_answer;
+    std::uint32_t task_count = 0;
+    /// Indexes reported so far; an answer may come in several messages.
+    std::set<std::uint32_t> reported;
+    query_answer_message answer;
   };
 
   // dispatch_controller.cc: queueing and starting
@@ -149,6 +156,8 @@
   void Conclude(const answer_message& answer);
   void EndFailed(const answer_message& answer);
   void Requeue(const task_name& name, retry_reason reason);
+  void RequeueUnfit(queued_task item);
+  void PutBack(service_state& state, std::vector<queued_task> passed_over);
   /// @param run_time empty if the agent has not told how the task ended
   void EndFlight(const task_name& name, task_result result,
                  std::optional<duration> run_time);
@@ -161,6 +170,8 @@
   void Detach(agent_record& agent);
   void QueryInDoubt(const agent_record& agent);
   void OnQueryAnswer(link_id link, const query_answer_message& message);
+  /// @returns true if the message belongs to a query of a whole submission
+  bool OnSubmissionAnswer(link_id link, const query_answer_message& message);
   void Resolve(const task_report& report, bool same_incarnation);
 
   // dispatch_tick.cc: deadlines, demand, forgets
--- a/src/libalmond/controllers/entry/dispatch_doubt.cc
+++ b/src/libalmond/controllers/entry/dispatch_doubt.cc
@@ -56,7 +56,10 @@
 void dispatch_controller::Query(link_id agent, query_message query,
                                 query_hook on_answer) {
   query.query = ++last_query_;
-  queries_[query.query] = {agent, std::move(on_answer)};
+  pending_query& asked = queries_[query.query];
+  asked.link = agent;
+  asked.on_answer = std::move(on_answer);
+  asked.task_count = query.task_count;
   metrics_.query.Add();
   hooks_.send(agent, query);
 }
@@ -74,19 +77,44 @@
   return result;
 }
 
-void dispatch_controller::OnQueryAnswer(link_id link,
-                                        const query_answer_message& message) {
+bool dispatch_controller::OnSubmissionAnswer(
+    link_id link, const query_answer_message& message) {
   const auto asked = queries_.find(message.query);
-  if (asked != queries_.end()) {
-    if (asked->second.link != link) return;
-    const query_hook on_answer = std::move(asked->second.on_answer);
-    queries_.erase(asked);
-    on_answer(message);
-    return;
+  if (asked == queries_.end()) return false;
+  pending_query& pending = asked->second;
+  if (pending.link != link) return true;
+  // An agent reports each of the submission's names, in several messages if
+  // the answers are large.
+  query_answer_message& whole = pending.answer;
+  std::vector<task_report> reports = std::move(whole.tasks);
+  whole = message;
+  whole.tasks = std::move(reports);
+  for (const task_report& report : message.tasks) {
+    const std::uint32_t index = report.name.index;
+    const bool expected = index < pending.task_count;
+    if (expected && !pending.reported.insert(index).second) continue;
+    whole.tasks.push_back(report);
   }
+  const bool last =
+      message.tasks.empty() || pending.reported.size() >= pending.task_count;
+  if (!last) return true;
+  const pending_query ended = std::move(pending);
+  queries_.erase(asked);
+  ended.on_answer(ended.answer);
+  return true;
+}
+
+void dispatch_controller::OnQueryAnswer(link_id link,
+                                        const query_answer_message& message) {
+  if (OnSubmissionAnswer(link, message)) return;
   std::set<service_id> services;
   for (const task_report& report : message.tasks) {
     flight* record = flights_.Find(report.name);
+    agent_record* agent = ByLink(link);
+    if (record == nullptr && agent != nullptr &&
+        report.state == task_state::ended) {
+      agent->OnLateAnswer(report.name);
+    }
     // A doubled or late answer finds its task ended, or no longer in doubt.
     if (record == nullptr || record->link != link || !record->in_doubt_since) {
       continue;
--- a/src/libalmond/controllers/entry/dispatch_messages.cc
+++ b/src/libalmond/controllers/entry/dispatch_messages.cc
@@ -36,6 +36,8 @@
   const service_id before = agent.announced.service;
   if (agent.announced.incarnation != message.incarnation) {
     agent.forgets.clear();
+    agent.given_up.clear();
+    agent.refused_until = steady_time();
   }
   agent.announced = message;
   agent.link = link;
@@ -94,17 +96,21 @@
                                    const answer_message& message) {
   // Lease of a grant that comes with an answer.
   metrics_.answer.Add();
-  const agent_record* agent = ByLink(link);
+  agent_record* agent = ByLink(link);
   if (agent == nullptr) return;
   const service_id service = agent->announced.service;
   if (message.next_grant && agent->Usable()) {
     Service(service).grants.Add(link, *message.next_grant, kGrantLease);
   }
   const flight* record = flights_.Find(message.name);
-  if (record != nullptr && record->link == link) {
+  // An answer to an older start must not end or requeue the task: it comes over
+  // another connection, or from an incarnation that did not get this start.
+  if (record != nullptr && record->link == link &&
+      record->incarnation == agent->announced.incarnation) {
     Conclude(message);
   } else {
     metrics_.late_answers.Add();
+    agent->OnLateAnswer(message.name);
   }
   if (!service.Empty()) Dispatch(service);
 }
@@ -157,12 +163,13 @@
   flight ended = flights_.Remove(name);
   queued_task item = std::move(ended.item);
   item.avoid = ended.agent;
-  ++item.attempts;
   if (ended.overdue || item.work.deadline <= clock_.SteadyNow()) {
     EndQueued(std::move(item), refusal_reason::deadline_in_queue);
   } else if (ended.cancelled) {
     EndQueued(std::move(item), refusal_reason::cancelled);
-  } else if (item.attempts >= kMaxNotRunAttempts) {
+  } else if (reason == retry_reason::start_not_sent && HasSizes(item.work)) {
+    RequeueUnfit(std::move(item));
+  } else if (++item.attempts >= kMaxNotRunAttempts) {
     EndQueued(std::move(item), refusal_reason::endpoint_refused);
   } else {
     metrics_.all.Retries(reason).Add();
@@ -171,6 +178,19 @@
   }
 }
 
+void dispatch_controller::RequeueUnfit(queued_task item) {
+  // The agent's grants are left to the tasks behind this one. The attempt is
+  // not counted: the delay bounds the number of starts until the deadline.
+  const auto agent = agents_.find(item.avoid);
+  if (agent != agents_.end()) {
+    agent->second.refused_size = item.work.size;
+    agent->second.refused_until = clock_.SteadyNow() + kFitDelay;
+  }
+  metrics_.all.Retries(retry_reason::start_not_sent).Add();
+  const service_id service = item.work.service;
+  Service(service).queue.Push(std::move(item));
+}
+
 void dispatch_controller::EndFlight(const task_name& name, task_result result,
                                     std::optional<duration> run_time) {
   const steady_time now = clock_.SteadyNow();
@@ -179,9 +199,13 @@
   if (run_time) {
     Service(ended.item.work.service).rate.AddEnd(now, *run_time);
   }
-  if (run_time && !ended.item.work.named_submission && agent != agents_.end() &&
+  if (agent != agents_.end() &&
       agent->second.announced.incarnation == ended.incarnation) {
-    agent->second.forgets.push_back(name);
+    // The names of submissions with an id stay for a resubmission.
+    const bool plain = !ended.item.work.named_submission;
+    if (run_time) agent->second.refused_until = now;
+    if (plain && run_time) agent->second.forgets.push_back(name);
+    if (plain && !run_time) agent->second.AddGivenUp(name);
   }
   task_end end;
   end.wait = ended.started - ended.item.queued;
--- a/tests/entry/answer_test.cc
+++ b/tests/entry/answer_test.cc
@@ -10,17 +10,24 @@
 class answer_fixture {
  protected:
   answer_fixture()
-      : dispatch_(clock_, metrics_,
-                  {[this](link_id, const entry_message& message) {
-                     if (std::holds_alternative<start_message>(message)) {
-                       ++starts_;
-                     }
-                   },
-                   [this](const task_end& end) { ends_.push_back(end.result); },
-                   [](const team_id&) { return std::uint32_t{1}; },
-                   {},
-                   {},
-                   {}}) {
+      : dispatch_(
+            clock_, metrics_,
+            {[this](link_id, const entry_message& message) {
+               if (std::holds_alternative<start_message>(message)) {
+                 ++starts_;
+               }
+               if (const auto* forget = std::get_if<forget_message>(&message)) {
+                 forgotten_ += forget->names.size();
+               }
+               if (const auto* query = std::get_if<query_message>(&message)) {
+                 last_query_ = query->query;
+               }
+             },
+             [this](const task_end& end) { ends_.push_back(end.result); },
+             [](const team_id&) { return std::uint32_t{1}; },
+             {},
+             {},
+             {}}) {
     Announce(1, "a", 5);
     Announce(2, "b", 6);
     dispatch_.OnMessage(link_id(1),
@@ -41,10 +48,11 @@
     message.slots = 1;
     dispatch_.OnMessage(link_id(link), message);
   }
-  void Answer(std::uint64_t link, std::uint32_t index = 0) {
+  void Answer(std::uint64_t link, std::uint32_t index = 0,
+              start_outcome outcome = start_outcome::done) {
     answer_message message;
     message.name.index = index;
-    message.outcome = start_outcome::done;
+    message.outcome = outcome;
     dispatch_.OnMessage(link_id(link), message);
   }
   void Report(std::uint64_t link, task_state state, std::uint64_t incarnation) {
@@ -64,6 +72,8 @@
   manual_clock clock_;
   metrics_registry metrics_;
   int starts_ = 0;
+  std::size_t forgotten_ = 0;
+  std::uint64_t last_query_ = 0;
   std::vector<task_result> ends_;
   dispatch_controller dispatch_;
 };
@@ -129,5 +139,123 @@
   CHECK(std::get<refusal>(ends_[0]).outcome == run_outcome::unknown);
 }
 
+// Guards against a second start: an answer to an older start must not requeue
+// a task that runs elsewhere.
+TEST_CASE_METHOD(answer_fixture,
+                 "answer / crossed with a later start / task stays there") {
+  const auto outcome = GENERATE(start_outcome::refused, start_outcome::not_sent,
+                                start_outcome::fenced);
+  dispatch_.OnMessage(link_id(2),
+                      grant_message{{grant_id(1)}, milliseconds(2000)});
+  SECTION("from the former agent") {
+    Answer(1, 0, outcome);
+    REQUIRE(starts_ == 2);
+    Answer(1, 0, outcome);
+  }
+  SECTION("from the former connection") {
+    Reconnect(5);
+    Answer(1, 0, outcome);
+    CHECK(starts_ == 1);
+    Report(3, task_state::fenced, 5);
+    REQUIRE(starts_ == 2);
+    Answer(3, 0, outcome);
+    Report(3, task_state::fenced, 5);
+  }
+  CHECK(starts_ == 2);
+  CHECK(dispatch_.InFlight() == 1);
+  CHECK(dispatch_.Queued() == 0);
+}
+
+// Guards against a refusal of a new incarnation, which knows nothing of a start
+// that went to the former one.
+TEST_CASE_METHOD(answer_fixture,
+                 "answer / other incarnation / no proof of not-run") {
+  Reconnect(9);
+  Answer(3, 0, start_outcome::refused);
+  CHECK(dispatch_.Queued() == 0);
+  CHECK(dispatch_.InFlight() == 1);
+}
+
+// Guards against names that agents keep for the whole window since the answer
+// came after the entry had given the task up.
+TEST_CASE_METHOD(answer_fixture, "answer / task given up / forgotten") {
+  clock_.Advance(std::chrono::seconds(5));
+  dispatch_.Tick();
+  clock_.Advance(dispatch_controller::kCancelGrace);
+  dispatch_.Tick();
+  REQUIRE(ends_.size() == 1);
+  Answer(1);
+  Answer(1, 7);
+  clock_.Advance(dispatch_controller::kForgetPeriod);
+  dispatch_.Tick();
+  CHECK(forgotten_ == 1);
+}
+
+// Guards against an answer in several messages that counts as whole after the
+// first of them.
+TEST_CASE_METHOD(answer_fixture,
+                 "query answer / in several messages / counted by name") {
+  std::vector<std::size_t> reported;
+  query_message query;
+  query.submission = uuid();
+  query.task_count = 3;
+  dispatch_.Query(link_id(1), query,
+                  [&](const std::optional<query_answer_message>& answer) {
+                    reported.push_back(answer ? answer->tasks.size() : 0);
+                  });
+  const auto part = [this](std::uint32_t index) {
+    query_answer_message message;
+    message.query = last_query_;
+    message.tasks.resize(1);
+    message.tasks[0].name.index = index;
+    dispatch_.OnMessage(link_id(1), message);
+  };
+  part(0);
+  part(1);
+  part(1);
+  CHECK(reported.empty());
+  part(2);
+  CHECK(reported == std::vector<std::size_t>{3});
+  part(2);
+  CHECK(reported.size() == 1);
+}
+
+// Guards against a task that does not fit an endpoint right now and takes its
+// grants from the tasks behind it.
+TEST_CASE_METHOD(answer_fixture,
+                 "not sent / does not fit now / tasks behind it start") {
+  Answer(1);
+  const auto grant = [this](std::uint64_t id) {
+    dispatch_.OnMessage(link_id(1),
+                        grant_message{{grant_id(id)}, milliseconds(2000)});
+  };
+  const auto submit = [this](std::uint32_t index, std::uint32_t memory) {
+    task work;
+    work.name.index = index;
+    work.service = service_id("s");
+    work.size.memory_mib = memory;
+    work.deadline = clock_.SteadyNow() + std::chrono::seconds(5);
+    dispatch_.Submit(work);
+  };
+  grant(2);
+  submit(10, 100);
+  submit(11, 0);
+  REQUIRE(starts_ == 2);
+  grant(3);
+  Answer(1, 10, start_outcome::not_sent);
+  CHECK(starts_ == 3);
+  grant(4);
+  CHECK(starts_ == 3);
+  Answer(1, 11);
+  CHECK(starts_ == 4);
+  for (std::uint64_t id = 5; id < 15; ++id) {
+    Answer(1, 10, start_outcome::not_sent);
+    clock_.Advance(dispatch_controller::kCancelGrace);
+    grant(id);
+  }
+  CHECK(starts_ == 14);
+  CHECK(ends_.size() == 2);
+}
+
 }  // namespace
 }  // namespace almond
