Add the figures retries, failing and teams to the policy bench

Cause: No figure showed what retries, ejections and team weights do, and the design page leaves the retry rules to a measurement. Change: A fleet of the product's entry and agent controllers in virtual time, with a hook for what each endpoint does with a task; a client with retry variants (baselines and the real request_controller); three figures on top. Entries without health see failures as successes, and the single queue puts all teams under one name, so the product needs no hook.

--- /dev/null
+++ b/bench/policy/failing_figure.h
@@ -0,0 +1,14 @@
+#ifndef ALMOND_BENCH_POLICY_FAILING_FIGURE_H_
+#define ALMOND_BENCH_POLICY_FAILING_FIGURE_H_
+
+#include <cstdint>
+
+namespace almond::bench {
+
+/// Prints how much work goes to endpoints that fail everything.
+/// @param seed of the arrivals
+void PrintFailing(std::uint64_t seed);
+
+}  // namespace almond::bench
+
+#endif  // ALMOND_BENCH_POLICY_FAILING_FIGURE_H_
--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -6,11 +6,16 @@
 #include <cstdio>
 #include <string>
 
+#include "bench/policy/failing_figure.h"
 #include "bench/policy/grant_policy.h"
+#include "bench/policy/retry_figure.h"
+#include "bench/policy/teams_figure.h"
 #include "bench/policy/worker_queue_policy.h"
 
-DEFINE_string(figure, "messages",
-              "figure to measure: messages, blocking or peak");
+DEFINE_string(
+    figure, "messages",
+    "figure to measure: messages, blocking, peak, retries, failing or "
+    "teams");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 DEFINE_uint32(seconds, 120, "length of each run in seconds of virtual time");
 
@@ -147,6 +152,12 @@
     almond::bench::PrintBlocking();
   } else if (FLAGS_figure == "peak") {
     almond::bench::PrintPeak();
+  } else if (FLAGS_figure == "retries") {
+    almond::bench::PrintRetries(FLAGS_seed);
+  } else if (FLAGS_figure == "failing") {
+    almond::bench::PrintFailing(FLAGS_seed);
+  } else if (FLAGS_figure == "teams") {
+    almond::bench::PrintTeams(FLAGS_seed);
   } else {
     std::fprintf(stderr, "unknown figure %s\n", FLAGS_figure.c_str());
     return 2;
--- /dev/null
+++ b/bench/policy/retry_client.h
@@ -0,0 +1,75 @@
+#ifndef ALMOND_BENCH_POLICY_RETRY_CLIENT_H_
+#define ALMOND_BENCH_POLICY_RETRY_CLIENT_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bench/policy/retry_fleet.h"
+
+namespace almond::bench {
+
+/// A way to repeat failed attempts.
+struct retry_variant {
+  std::string name;
+  std::uint32_t attempts = 1;      ///< of the entry, the first included
+  bool product = false;            ///< the product's request_controller
+  bool backoff = false;            ///< exponential with full jitter
+  bool adaptive = false;           ///< delay x4 above 50% failures
+  bool budget = false;             ///< the product's retry_budget
+  milliseconds breaker{0};         ///< time open; 0 for no breaker
+  std::uint32_t client_sends = 1;  ///< of one request, to any entry
+};
+
+/// Sends requests through a fleet and repeats them as a variant says.
+class retry_client {
+ public:
+  using end_hook = std::function<void(bool)>;
+
+  retry_client(retry_fleet& fleet, retry_variant variant)
+      : fleet_(fleet),
+        variant_(std::move(variant)),
+        entries_(fleet.Entries()) {}
+
+  /// @param on_end called once with true if the answer is 200
+  void Send(const std::string& body, steady_time deadline, end_hook on_end);
+
+ private:
+  /// Failures in a row after which the breaker opens.
+  static constexpr std::uint32_t kOpenAfter = 10;
+
+  struct entry_state {
+    retry_budget budget;
+    double failing = 0;  ///< decayed share of failed attempts
+    std::uint32_t failures = 0;
+    std::optional<steady_time> open_until;
+    bool trial = false;
+  };
+  struct request {
+    std::string body;
+    steady_time deadline;
+    std::size_t entry = 0;
+    std::uint32_t attempt = 1;
+    std::uint32_t send = 1;
+    end_hook on_end;
+  };
+
+  void SendToEntry(request sent);
+  bool BreakerRefuses(entry_state& entry);
+  void RecordBreaker(entry_state& entry, bool success);
+  void Attempt(const request& sent, const agent_id& avoid);
+  void OnAnswer(request sent, const job_answer& answer);
+  bool MayRetry(const request& sent, const job_failed& failed);
+  duration Delay(const request& sent);
+  void EndAtEntry(const request& sent, bool success);
+  void EndAtClient(request sent, bool success);
+
+  retry_fleet& fleet_;
+  retry_variant variant_;
+  std::vector<entry_state> entries_;
+};
+
+}  // namespace almond::bench
+
+#endif  // ALMOND_BENCH_POLICY_RETRY_CLIENT_H_
