--- a/bench/capacity/frame_figures.cc
+++ b/bench/capacity/frame_figures.cc
@@ -4,6 +4,7 @@
 
 #include "bench/capacity/figures.h"
 #include "bench/capacity/samples.h"
+#include "libalmond/controllers/control/command_codec.h"
 #include "libalmond/wire/control_codec.h"
 #include "libalmond/wire/dispatch_codec.h"
 #include "libalmond/wire/replication_codec.h"
@@ -115,6 +116,12 @@
   message.body = append;
   Row("append_request, 10 commands of 100",
       EncodeReplicaMessage(message, "almond"));
+  const manual_clock clock;
+  entry.command =
+      EncodeCommand({clock.WallNow(), SampleClaim(1, clock.WallNow())});
+  append.entries.assign(1, entry);
+  message.body = append;
+  Row("append_request, 1 claim", EncodeReplicaMessage(message, "almond"));
   message.body = append_reply{1000000, true, 1000000};
   Row("append_reply", EncodeReplicaMessage(message, "almond"));
   message.body = vote_request{};
