--- a/bench/endpoint/main.cc
+++ b/bench/endpoint/main.cc
@@ -2,9 +2,11 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <utility>
 #include <vector>
 
 #include "announcer.h"
@@ -33,6 +35,9 @@
 DEFINE_bool(fail_all, false, "Answer each task with status 500 at its end.");
 DEFINE_double(refuse_share, 0,
               "Share of starts refused with a true not-run, 0 to 1.");
+DEFINE_string(start_log, "",
+              "File to which each start is appended as a line of JSON; it "
+              "outlives the death of this process. Empty: no log.");
 DEFINE_uint32(drain_timeout, 120,
               "Longest time for tasks to finish after SIGTERM, in seconds.");
 
@@ -76,10 +81,31 @@
   return body.dump();
 }
 
+std::int64_t EpochMillis() {
+  return std::chrono::duration_cast<milliseconds>(
+             system_clock().WallNow().time_since_epoch())
+      .count();
+}
+
+/// @returns a hook that appends one line to the stream for each start
+std::function<void(const http_request&)> LogStarts(std::ostream& out) {
+  return [&out](const http_request& request) {
+    const nlohmann::json line = {
+        {"ms", EpochMillis()},
+        {"submission", HeaderValue(request.headers, "Almond-Submission")},
+        {"task", HeaderValue(request.headers, "Almond-Task")},
+        {"kind", HeaderValue(request.headers, "Almond-Kind")},
+        {"body", request.body}};
+    // Flushed at once, so that a killed process leaves all its starts behind.
+    out << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+        << std::endl;
+  };
+}
+
 /// The endpoints of this process, and how they end.
 class bench_process {
  public:
-  explicit bench_process(const simulation& how) : how_(how) {}
+  explicit bench_process(simulation how) : how_(std::move(how)) {}
 
   bool Start(socket_address listen, const std::vector<socket_address>& agents) {
     for (const socket_address& agent : agents) {
@@ -165,8 +191,15 @@
     return Wrong("--refuse_share: expected 0 to 1");
   }
   ConfigureLogging("almond-bench-endpoint");
-  bench_process process({milliseconds(FLAGS_default_ms), FLAGS_slow_factor,
-                         FLAGS_fail_all, FLAGS_refuse_share});
+  simulation how{milliseconds(FLAGS_default_ms), FLAGS_slow_factor,
+                 FLAGS_fail_all, FLAGS_refuse_share};
+  std::ofstream start_log;
+  if (!FLAGS_start_log.empty()) {
+    start_log.open(FLAGS_start_log, std::ios::app);
+    if (!start_log) return Wrong("--start_log: cannot open the file");
+    how.on_start = LogStarts(start_log);
+  }
+  bench_process process(std::move(how));
   if (!process.Start(*listen, *agents)) {
     return Wrong("--listen: cannot listen on " + FLAGS_listen);
   }
--- a/bench/endpoint/simulated_tasks.cc
+++ b/bench/endpoint/simulated_tasks.cc
@@ -44,6 +44,7 @@
     return;
   }
   ++starts_;
+  if (how_.on_start) how_.on_start(request);
   if (++starts_by_id_[id] > 1) {
     doubled_.insert(id);
     // A doubled start is counted as started; its work is not simulated twice.
--- a/bench/endpoint/simulated_tasks.h
+++ b/bench/endpoint/simulated_tasks.h
@@ -2,11 +2,13 @@
 #define ALMOND_BENCH_ENDPOINT_SIMULATED_TASKS_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "libalmond/core/clock.h"
 #include "libalmond/net/event_loop.h"
@@ -20,6 +22,9 @@
   double slow_factor = 1;         ///< by which run times are multiplied
   bool fail_all = false;          ///< answer 500 at the end of each task
   double refuse_share = 0;        ///< share refused with a true not-run
+  /// Called for each start that is not refused, before the task runs; may be
+  /// empty.
+  std::function<void(const http_request&)> on_start = nullptr;
 };
 
 /// Tasks of the stand-in endpoint: each runs for its simulated time on a timer.
@@ -28,7 +33,7 @@
  public:
   simulated_tasks(event_loop& loop, const clock_interface& clock,
                   simulation how)
-      : loop_(loop), clock_(clock), how_(how) {}
+      : loop_(loop), clock_(clock), how_(std::move(how)) {}
 
   /// Answers POST /tasks/{id} and its controls, and GET /stats.
   void OnHttp(const http_request& request,
