Answer named refusals before the ledger look-up as unknown

Cause: the filters refuse a submission before the ledger is asked. A resubmission at an entry that had just restarted was told `no-configuration`, outcome "not-run", although the first call had run at another entry. The same holds for draining, no-endpoint, exceeds-capacity, team-quota and overloaded.

Change: these refusals carry the outcome "unknown" if the caller named the submission; requests without an id keep "not-run".

Conclusion: refusals by momentary state no longer claim what they cannot know.

--- a/src/libalmond/processes/entry_http.cc
+++ b/src/libalmond/processes/entry_http.cc
@@ -5,6 +5,28 @@
 #include "libalmond/processes/entry_process.h"
 
 namespace almond {
+namespace {
+
+/// An earlier call with the caller's id may have run through another entry, so
+/// what this entry's momentary state refuses before the ledger is asked is not
+/// known to be "not-run". Without an id there is no other call.
+refusal AsKnownHere(const request_context& context, refusal refused) {
+  if (!context.submission) return refused;
+  switch (refused.reason) {
+    case refusal_reason::draining:
+    case refusal_reason::no_configuration:
+    case refusal_reason::no_endpoint:
+    case refusal_reason::exceeds_capacity:
+    case refusal_reason::team_quota:
+    case refusal_reason::overloaded:
+      refused.outcome = run_outcome::unknown;
+      return refused;
+    default:
+      return refused;
+  }
+}
+
+}  // namespace
 
 void entry_process::OnHttp(const http_request& request,
                            const http_server::responder& respond) {
@@ -76,14 +98,14 @@
   }
   auto& context = std::get<request_context>(parsed);
   if (const auto refused = filters_.Run(context)) {
-    Refuse(*refused, respond);
+    Refuse(AsKnownHere(context, *refused), respond);
     return;
   }
   const bool known =
       context.submission && submissions_.Knows(*context.submission);
   if (!known) {
     if (const auto refused = admission_.Run(context)) {
-      Refuse(*refused, respond);
+      Refuse(AsKnownHere(context, *refused), respond);
       return;
     }
   }
--- a/tests/entry_process/entry_process_test.cc
+++ b/tests/entry_process/entry_process_test.cc
@@ -135,5 +135,27 @@
   CHECK(held_.empty());
 }
 
+// Guards against a resubmission that is told "not-run" although an earlier call
+// with its id, at another entry, has run.
+TEST_CASE_METHOD(entry_process_fixture,
+                 "refusal before the ledger / by id / named ones are unknown") {
+  const std::string id = "01890a5d-ac96-774b-bcce-b302099a8057";
+  const auto outcome = [&](const http_headers& headers) {
+    const auto end =
+        Call(entry_.HttpAddress(),
+             {"POST", "/v1/services/s/requests", "", headers, "x"});
+    CHECK(end.response.status == 503);
+    return HeaderValue(end.response.headers, "Almond-Outcome");
+  };
+  Call(agent_->HttpAddress(), {"DELETE", "/v1/endpoint", "", {}, ""});
+  const auto poll = loop_.Every(milliseconds(5), [this] {
+    if (entry_.Agents(service_id("s")) == 0) loop_.Stop();
+  });
+  loop_.Run();
+  CHECK(outcome({}) == "not-run");
+  CHECK(outcome({{"Almond-Submission", id}}) == "unknown");
+  CHECK(held_.empty());
+}
+
 }  // namespace
 }  // namespace almond
