--- a/src/libalmond/processes/entry_http.cc
+++ b/src/libalmond/processes/entry_http.cc
@@ -5,7 +5,6 @@
 #include "libalmond/processes/entry_process.h"
 
 namespace almond {
-
 void entry_process::OnHttp(const http_request& request,
                            const http_server::responder& respond) {
   const bool get = request.method == "GET";
