Close damaged and unannounced peer connections and test net

Cause: an agent went on reading after a damaged frame, an entry kept connections without an announcement, a response after the end of the server went to a freed request (found by reading, not by a run), and evhttp answered HEAD, PATCH and OPTIONS with a page of its own. Change: peer_dialer::Close ends a connection and dials again; the agent uses it for damaged frames. entry_links closes connections that have not announced themselves within 5 s. Late responses are dropped. Handlers see HEAD, PATCH and OPTIONS. The idle timeout is a parameter. Conclusion: headers that trickle in within the idle timeout still hold a connection up to the header limit.

--- a/src/libalmond/net/http_message.h
+++ b/src/libalmond/net/http_message.h
@@ -21,7 +21,7 @@
 
 /// An HTTP request, received or to be sent.
 struct http_request {
-  std::string method;  ///< GET, POST, PUT or DELETE
+  std::string method;  ///< in upper case; empty if not known
   std::string path;    ///< decoded, without the query
   std::string query;   ///< text after the question mark
   http_headers headers;
--- a/src/libalmond/net/http_server.cc
+++ b/src/libalmond/net/http_server.cc
@@ -21,6 +21,12 @@
       return "PUT";
     case EVHTTP_REQ_DELETE:
       return "DELETE";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
     default:
       return "";
   }
@@ -37,6 +43,7 @@
   if (raw == nullptr) return "/";
   std::size_t length = 0;
   char* decoded = evhttp_uridecode(raw, 0, &length);
+  if (decoded == nullptr) return "/";
   std::string path(decoded, length);
   free(decoded);
   return path;
@@ -72,17 +79,25 @@
 
 }  // namespace
 
-http_server::http_server(event_loop& loop, handler handle)
+http_server::http_server(event_loop& loop, handler handle,
+                         std::chrono::seconds idle_timeout)
     : handle_(std::move(handle)), server_(evhttp_new(loop.Base())) {
   evhttp_set_max_body_size(server_, kMaxBodyBytes);
   evhttp_set_max_headers_size(server_, kMaxHeaderBytes);
-  evhttp_set_timeout(server_, static_cast<int>(kIdleTimeout.count()));
+  evhttp_set_timeout(server_, static_cast<int>(idle_timeout.count()));
+  // Handlers answer methods that they do not offer with a JSON reason; evhttp
+  // would send a page of its own.
   evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+                                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                                          EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH |
+                                          EVHTTP_REQ_OPTIONS);
   evhttp_set_gencb(server_, &http_server::OnRequest, this);
 }
 
-http_server::~http_server() { evhttp_free(server_); }
+http_server::~http_server() {
+  *alive_ = false;
+  evhttp_free(server_);
+}
 
 bool http_server::Listen(const socket_address& address) {
   socket_ =
@@ -104,10 +119,10 @@
 
 void http_server::Handle(evhttp_request* request) {
   ++*pending_;
-  handle_(ToRequest(request), [request, pending = pending_, closing = closing_](
-                                  const http_response& response) {
+  handle_(ToRequest(request), [request, pending = pending_, closing = closing_,
+                               alive = alive_](const http_response& response) {
     --*pending;
-    SendResponse(request, response, *closing);
+    if (*alive) SendResponse(request, response, *closing);
   });
 }
 
--- a/src/libalmond/net/http_server.h
+++ b/src/libalmond/net/http_server.h
@@ -26,11 +26,14 @@
   /// requests whose headers come too slowly.
   static constexpr std::chrono::seconds kIdleTimeout{30};
 
-  /// Sends the response; must be called once.
+  /// Sends the response; must be called once. It is dropped if the client or
+  /// the server is gone.
   using responder = std::function<void(const http_response&)>;
   using handler = std::function<void(const http_request&, responder)>;
 
-  http_server(event_loop& loop, handler handle);
+  /// @param idle_timeout see kIdleTimeout
+  http_server(event_loop& loop, handler handle,
+              std::chrono::seconds idle_timeout = kIdleTimeout);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
@@ -54,6 +57,8 @@
   evhttp_bound_socket* socket_ = nullptr;
   socket_address address_;
   std::shared_ptr<std::size_t> pending_ = std::make_shared<std::size_t>(0);
+  /// False once the server is destroyed, and its requests with it.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::shared_ptr<bool> closing_ = std::make_shared<bool>(false);
 };
 
--- a/src/libalmond/net/peer_dialer.cc
+++ b/src/libalmond/net/peer_dialer.cc
@@ -30,6 +30,14 @@
   if (link_) link_->Send(message);
 }
 
+void peer_dialer::Close(const std::string& reason) {
+  if (!link_) return;
+  const std::shared_ptr<peer_link> closed = std::exchange(link_, nullptr);
+  closed->Close();
+  Redial();
+  hooks_.on_closed(reason);
+}
+
 void peer_dialer::Dial() {
   // Without BEV_OPT_CLOSE_ON_FREE, so that the connected socket can be handed
   // over to a link.
--- a/src/libalmond/net/peer_dialer.h
+++ b/src/libalmond/net/peer_dialer.h
@@ -30,6 +30,10 @@
 
   /// Sends a frame; ignored while there is no connection.
   void Send(const frame& message);
+  /// Ends the connection, calls on_closed and dials again. May be called from
+  /// on_frame; no further frame of that connection is delivered.
+  /// @param reason passed to on_closed
+  void Close(const std::string& reason);
   bool Connected() const { return link_ != nullptr; }
   const socket_address& Address() const { return address_; }
 
--- a/src/libalmond/processes/agent_entry_links.cc
+++ b/src/libalmond/processes/agent_entry_links.cc
@@ -52,6 +52,8 @@
   const auto message = DecodeEntryMessage(encoded);
   if (!message) {
     metrics_.Counter("almond_bad_frames_total").Add();
+    entries_.at(address).dialer->Close("damaged frame of type " +
+                                       std::to_string(encoded.type));
     return;
   }
   hooks_.on_message(entries_.at(address).link, *message);
--- a/src/libalmond/processes/entry_links.h
+++ b/src/libalmond/processes/entry_links.h
@@ -20,8 +20,13 @@
     std::function<void(link_id)> on_closed;
   };
 
+  /// Time from the accept to the agent's first announcement. A connection
+  /// without one is closed, so that strangers cannot hold connections.
+  static constexpr milliseconds kAnnounceLimit{5000};
+
   entry_links(event_loop& loop, const clock_interface& clock,
-              metrics_registry& metrics, hooks callbacks);
+              metrics_registry& metrics, hooks callbacks,
+              milliseconds announce_limit = kAnnounceLimit);
 
   /// @returns false if the address cannot be bound
   bool Listen(const socket_address& address) {
@@ -36,6 +41,12 @@
   std::size_t size() const { return links_.size(); }
 
  private:
+  struct accepted_link {
+    std::shared_ptr<peer_link> link;
+    event_handle announce_timer;  ///< until the first announcement
+  };
+
+  void CloseUnannounced(link_id link);
   void OnAccept(const std::shared_ptr<peer_link>& link);
   void OnFrame(link_id link, const frame& encoded);
 
@@ -43,7 +54,8 @@
   metrics_registry& metrics_;
   hooks hooks_;
   peer_listener listener_;
-  std::map<link_id, std::shared_ptr<peer_link>> links_;
+  std::map<link_id, accepted_link> links_;
+  milliseconds announce_limit_;
   link_id last_link_;
 };
 
--- /dev/null
+++ b/tests/net/http_client_test.cc
@@ -0,0 +1,85 @@
+#include "libalmond/net/http_client.h"
+
+#include <catch2/catch.hpp>
+
+#include "libalmond/net/http_server.h"
+#include "libalmond/net/peer_listener.h"
+
+namespace almond {
+namespace {
+
+const socket_address kAnyPort{"127.0.0.1", 0};
+
+/// Sends one request and keeps its end.
+class http_client_fixture {
+ protected:
+  http_call_result Call(const socket_address& address) {
+    http_call_result end;
+    int calls = 0;
+    SendHttpRequest(loop_, address, {"POST", "/a", "b=c", {{"X", "y"}}, "body"},
+                    milliseconds(20000), [&](const http_call_result& result) {
+                      ++calls;
+                      end = result;
+                      loop_.Stop();
+                    });
+    CHECK(calls == 0);
+    loop_.Run();
+    CHECK(calls == 1);
+    return end;
+  }
+
+  event_loop loop_;
+  system_clock clock_;
+};
+
+// Guards against "unknown" where the server saw nothing.
+TEST_CASE_METHOD(http_client_fixture, "http call / closed port / not sent") {
+  socket_address closed;
+  {
+    peer_listener listener(loop_, clock_, [](const auto&) {});
+    REQUIRE(listener.Listen(kAnyPort));
+    closed = listener.Address();
+  }
+  CHECK(Call(closed).outcome == http_call_outcome::not_sent);
+}
+
+// Guards against "not sent" after the server has read the request, and against
+// a second sending.
+TEST_CASE_METHOD(http_client_fixture,
+                 "http call / server closes after reading / lost") {
+  int connections = 0;
+  std::shared_ptr<peer_link> open;
+  // The request's first bytes are no frame, so the link closes after reading.
+  peer_listener listener(loop_, clock_, [&](std::shared_ptr<peer_link> link) {
+    ++connections;
+    open = std::move(link);
+    open->Start({[](const frame&) {}, [](const std::string&) {}});
+  });
+  REQUIRE(listener.Listen(kAnyPort));
+  CHECK(Call(listener.Address()).outcome == http_call_outcome::lost);
+  CHECK(connections == 1);
+}
+
+// Guards against a request or response that is changed on the way.
+TEST_CASE_METHOD(http_client_fixture, "http call / answered / whole response") {
+  http_request seen;
+  http_server server(loop_, [&](const http_request& request,
+                                const http_server::responder& respond) {
+    seen = request;
+    respond({503, {{"Almond-Outcome", "not-run"}}, std::string("a\0b", 3)});
+  });
+  REQUIRE(server.Listen(kAnyPort));
+  const auto end = Call(server.Address());
+  CHECK(end.outcome == http_call_outcome::answered);
+  CHECK(end.response.status == 503);
+  CHECK(end.response.body.size() == 3);
+  CHECK(HeaderValue(end.response.headers, "almond-outcome") == "not-run");
+  CHECK(seen.method == "POST");
+  CHECK(seen.path == "/a");
+  CHECK(seen.query == "b=c");
+  CHECK(HeaderValue(seen.headers, "x") == "y");
+  CHECK(seen.body == "body");
+}
+
+}  // namespace
+}  // namespace almond
