Eject an endpoint only for rows of failures that its past does not explain

Cause: Work of which a share fails at every endpoint brings five failures in a row by chance, and ejected endpoints one before the other. Change: A row of failures makes an endpoint suspect only if its earlier rate of failures plus 0.15 would bring it less often than once in 1e8. Without earlier failures that is ten in a row instead of five. Conclusion: The fault is fixed for shares up to 50%.

--- a/src/libalmond/controllers/entry/endpoint_health.h
+++ b/src/libalmond/controllers/entry/endpoint_health.h
@@ -13,8 +13,16 @@
  public:
   /// Weight of the newest outcome in the success rate.
   static constexpr double kNewestWeight = 0.2;
-  /// Failures in a row after which the endpoint may be ejected.
-  static constexpr std::uint32_t kEjectAfter = 5;
+  /// A row of failures counts against the endpoint only if its earlier
+  /// failures would bring such a row less often than this: work of which half
+  /// fails everywhere often fails five times in a row. Without earlier
+  /// failures, ten in a row are enough.
+  static constexpr double kImprobable = 1e-8;
+  /// Added to the rate of earlier failures, which is an estimate.
+  static constexpr double kRateMargin = 0.15;
+  /// Weight of the newest outcome in the rate of earlier failures, once the
+  /// endpoint has had some dozens of them.
+  static constexpr double kEarlierWeight = 0.02;
   /// Time from the ejection to the first probe; doubles with each failed one.
   static constexpr milliseconds kFirstProbe{1000};
   static constexpr milliseconds kLongestProbe{30000};
@@ -33,8 +41,9 @@
   /// @returns decayed share of successes, from 0 to 1
   double Success() const { return success_; }
   bool Ejected() const { return ejected_; }
-  /// @returns true if enough failures have come in a row
-  bool Suspect() const { return !ejected_ && failures_ >= kEjectAfter; }
+  /// @returns true if more failures have come in a row than the endpoint's
+  ///   earlier failures explain
+  bool Suspect() const;
   /// @returns true if an ejected endpoint may get one task
   bool ProbeDue(steady_time now) const { return ejected_ && now >= probe_; }
   /// @param slots slots of the endpoint
@@ -44,7 +53,12 @@
   std::uint32_t AllowedTasks(std::uint32_t slots, double usual) const;
 
  private:
+  void RecordEarlier(double failed);
+
   double success_ = 1;
+  /// Decayed share of failures before the present row of failures.
+  double earlier_failures_ = 0;
+  double earlier_weight_ = 0.5;
   std::uint32_t failures_ = 0;
   bool ejected_ = false;
   steady_time probe_;
--- /dev/null
+++ b/tests/entry/health_test.cc
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "libalmond/controllers/entry/endpoint_health.h"
+#include "libalmond/controllers/entry/retry_budget.h"
+
+namespace almond {
+namespace {
+
+class health_fixture {
+ protected:
+  /// @returns failures in a row until the endpoint is suspect
+  std::uint32_t FailUntilSuspect() {
+    std::uint32_t failures = 0;
+    while (!health_.Suspect() && failures < 10000) {
+      health_.Record(false, now_);
+      ++failures;
+    }
+    return failures;
+  }
+
+  endpoint_health health_;
+  steady_time now_;
+};
+
+// Guards against a failing endpoint that keeps taking starts.
+TEST_CASE_METHOD(health_fixture,
+                 "endpoint health / fails after successes / soon suspect") {
+  for (int i = 0; i < 100; ++i) health_.Record(true, now_);
+  CHECK(FailUntilSuspect() == 10);
+}
+
+TEST_CASE_METHOD(health_fixture,
+                 "endpoint health / fails from the start / soon suspect") {
+  CHECK(FailUntilSuspect() == 10);
+}
+
+// Guards against ejection by a kind of task that fails at every endpoint: its
+// failures come in rows by chance.
+TEST_CASE_METHOD(health_fixture,
+                 "endpoint health / share of the work fails / never suspect") {
+  const double share = GENERATE(0.1, 0.3, 0.5);
+  std::mt19937_64 random(1);
+  std::bernoulli_distribution fails(share);
+  bool suspect = false;
+  for (int i = 0; i < 1000; ++i) {
+    health_.Record(!fails(random), now_);
+    suspect = suspect || health_.Suspect();
+  }
+  CHECK_FALSE(suspect);
+  // One that then fails everything is still found.
+  CHECK(FailUntilSuspect() <= 60);
+}
+
+// Guards against a storm by tokens that each entry of a fleet has saved up.
+TEST_CASE("retry budget / long time without failures / few retries at once") {
+  retry_budget budget;
+  for (int i = 0; i < 10000; ++i) budget.OnRequest();
+  int retries = 0;
+  while (budget.Take()) ++retries;
+  CHECK(retries >= 9);
+  CHECK(retries <= 10);
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnRequest();
+    if (budget.Take()) ++retries;
+  }
+  CHECK(retries <= 110);
+  CHECK(retries >= 108);
+}
+
+}  // namespace
+}  // namespace almond
