Probe ejected endpoints each second while the others fail too

Cause: after 20 s in which all endpoints fail everything, recovery took 4.2 s: the wait for the next probe of the five ejected endpoints had doubled up to 16 s. Change: while the success rate of the others is below one half, a probe is due each second; the test waits for the end of its call and checks it.

--- a/src/libalmond/controllers/entry/dispatch_controller.cc
+++ b/src/libalmond/controllers/entry/dispatch_controller.cc
@@ -39,13 +39,13 @@
   const agent_record& agent = agents_.at(found->second);
   const std::size_t running = flights_.CountAt(found->second);
   const double success = agent.health.Success();
+  const double usual = services_.at(agent.announced.service)->usual_success;
   if (agent.health.Ejected()) {
-    if (running > 0 || !agent.health.ProbeDue(clock_.SteadyNow())) {
+    if (running > 0 || !agent.health.ProbeDue(clock_.SteadyNow(), usual)) {
       return std::nullopt;
     }
     return kProbe;
   }
-  const double usual = services_.at(agent.announced.service)->usual_success;
   // The agent counts its slots itself; the limit here is for endpoints that
   // fail more than others do.
   const std::uint32_t slots = agent.announced.slots;
--- a/src/libalmond/controllers/entry/endpoint_health.cc
+++ b/src/libalmond/controllers/entry/endpoint_health.cc
@@ -31,7 +31,7 @@
   if (ejected_) {
     if (!success) {
       backoff_ = std::min(backoff_ * 2, kLongestProbe);
-      probe_ = now + backoff_;
+      last_failure_ = now;
       return false;
     }
     ejected_ = false;
@@ -52,7 +52,7 @@
 
 void endpoint_health::Eject(steady_time now) {
   ejected_ = true;
-  probe_ = now + backoff_;
+  last_failure_ = now;
 }
 
 std::uint32_t endpoint_health::AllowedTasks(std::uint32_t slots,
--- a/src/libalmond/controllers/entry/endpoint_health.h
+++ b/src/libalmond/controllers/entry/endpoint_health.h
@@ -26,6 +26,8 @@
   /// Time from the ejection to the first probe; doubles with each failed one.
   static constexpr milliseconds kFirstProbe{1000};
   static constexpr milliseconds kLongestProbe{30000};
+  /// Success rate of the others below which an ejection helps nobody.
+  static constexpr double kFailing = 0.5;
   /// Success rate after a successful probe; the endpoint regains its slots as
   /// it proves itself.
   static constexpr double kReadmittedSuccess = 0.5;
@@ -44,8 +46,13 @@
   /// @returns true if more failures have come in a row than the endpoint's
   ///   earlier failures explain
   bool Suspect() const;
-  /// @returns true if an ejected endpoint may get one task
-  bool ProbeDue(steady_time now) const { return ejected_ && now >= probe_; }
+  /// @param usual success rate of the service's other endpoints
+  /// @returns true if an ejected endpoint may get one task. While the others do
+  ///   no better, waiting longer spares no failures and delays the recovery.
+  bool ProbeDue(steady_time now, double usual) const {
+    const milliseconds wait = usual < kFailing ? kFirstProbe : backoff_;
+    return ejected_ && now >= last_failure_ + wait;
+  }
   /// @param slots slots of the endpoint
   /// @param usual success rate of the service's endpoints; work that fails
   ///   everywhere takes no slots from any of them
@@ -61,7 +68,7 @@
   double earlier_weight_ = 0.5;
   std::uint32_t failures_ = 0;
   bool ejected_ = false;
-  steady_time probe_;
+  steady_time last_failure_;  ///< ejection, or the last failed probe
   milliseconds backoff_{kFirstProbe};
 };
 
--- a/tests/entry/health_test.cc
+++ b/tests/entry/health_test.cc
@@ -52,6 +52,20 @@
   CHECK(FailUntilSuspect() <= 60);
 }
 
+// Guards against ejected endpoints that wait for long after a failure of all
+// endpoints has ended, and against frequent probes of a single failing one.
+TEST_CASE_METHOD(health_fixture,
+                 "endpoint health / failed probes / wait by the others") {
+  constexpr double kOthersFail = 0.1;
+  constexpr double kOthersWork = 1.0;
+  health_.Eject(now_);
+  for (int i = 0; i < 4; ++i) health_.Record(false, now_);
+  CHECK_FALSE(health_.ProbeDue(now_ + milliseconds(999), kOthersFail));
+  CHECK(health_.ProbeDue(now_ + milliseconds(1000), kOthersFail));
+  CHECK_FALSE(health_.ProbeDue(now_ + milliseconds(15999), kOthersWork));
+  CHECK(health_.ProbeDue(now_ + milliseconds(16000), kOthersWork));
+}
+
 // Guards against a storm by tokens that each entry of a fleet has saved up.
 TEST_CASE("retry budget / long time without failures / few retries at once") {
   retry_budget budget;
--- a/tests/entry_process/entry_process_test.cc
+++ b/tests/entry_process/entry_process_test.cc
@@ -240,13 +240,17 @@
     reply(accepted);
   };
   entry_.SetHooks(hooks);
+  http_call_result submitted;
   std::mt19937_64 random(1);
   const std::string id = uuid::MakeV7(clock_.WallNow(), random).ToString();
   on_task_ = [this] { loop_.Stop(); };
   SendHttpRequest(
       loop_, entry_.HttpAddress(),
       {"POST", "/v1/services/s/requests", "", {{"Almond-Submission", id}}, "x"},
-      milliseconds(20000), [](const http_call_result&) {});
+      milliseconds(20000), [&](const http_call_result& result) {
+        submitted = result;
+        loop_.Stop();
+      });
   loop_.Run();
   const auto end =
       Call(entry_.HttpAddress(), {"DELETE", "/v1/jobs/" + id, "", {}, ""});
@@ -254,6 +258,8 @@
   CHECK(end.response.body == R"({"state":"cancelling"})");
   REQUIRE(held_.size() == 1);
   held_[0]({200, {}, "result"});
+  loop_.Run();
+  CHECK(submitted.outcome == http_call_outcome::answered);
 }
 
 // Guards against a resubmission that is told "not-run" although an earlier call
