--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -13,7 +13,7 @@
 
 DEFINE_string(id, "entry-1", "Name of this entry, unique among the entries");
 DEFINE_string(data_centre, "",
-              "Data centre of this entry, as in the configuration");
+              "Data centre of this entry, as in the configuration; required");
 DEFINE_string(listen_http, "127.0.0.1:8080",
               "IP:PORT for callers; port 0 takes a free one");
 DEFINE_string(listen_peer, "127.0.0.1:7080",
@@ -28,6 +28,8 @@
              "Milliseconds for requests in progress after the listener has "
              "closed, 0 to 3600000");
 
+DECLARE_bool(help);
+
 namespace almond {
 namespace {
 
@@ -48,6 +50,7 @@
   const auto http = socket_address::Parse(FLAGS_listen_http);
   const auto peer = socket_address::Parse(FLAGS_listen_peer);
   if (FLAGS_id.empty()) error = "--id is empty";
+  if (FLAGS_data_centre.empty()) error = "--data_centre is required";
   if (!http) error = "--listen_http is not IP:PORT: " + FLAGS_listen_http;
   if (!peer) error = "--listen_peer is not IP:PORT: " + FLAGS_listen_peer;
   const auto control = socket_address::ParseList(FLAGS_control);
@@ -111,7 +114,12 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
       "entry of almondproxy: accepts requests and dispatches their tasks");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  if (FLAGS_help) {
+    gflags::ShowUsageWithFlagsRestrict(argv[0], "main");
+    return EXIT_SUCCESS;
+  }
+  gflags::HandleCommandLineHelpFlags();
   if (argc > 1) {
     std::cerr << "almond-entryd: unexpected argument " << argv[1] << "\n";
     return EXIT_FAILURE;
