--- a/src/agentd/main.cc
+++ b/src/agentd/main.cc
@@ -8,6 +8,7 @@
 #include "libalmond/net/event_loop.h"
 #include "libalmond/processes/agent_control.h"
 #include "libalmond/processes/agent_process.h"
+#include "platform/programs.h"
 
 DEFINE_string(id, "", "Name of this agent, unique among all agents; required.");
 DEFINE_string(data_centre, "",
@@ -25,6 +26,8 @@
              "Longest time for running tasks to finish after SIGTERM, in "
              "seconds, 1 to 86400.");
 
+DEFINE_bool(platform, false,
+            "serve the interfaces of the platform in platform/");
 DECLARE_bool(help);
 
 namespace almond {
@@ -135,5 +138,6 @@
     return almond::Wrong(std::string("unexpected argument \"") + argv[1] +
                          "\"");
   }
+  if (FLAGS_platform) return almond::platform::RunAgent();
   return almond::RunAgent();
 }
--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -9,6 +9,7 @@
 #include "libalmond/core/logging.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/processes/control_process.h"
+#include "platform/programs.h"
 
 DEFINE_string(id, "", "id of this replica, one of --replicas");
 DEFINE_string(replicas, "",
@@ -29,6 +30,8 @@
 DEFINE_bool(bootstrap, false,
             "initialise an empty data folder as part of a new cluster; only "
             "for the first start of all replicas");
+DEFINE_bool(platform, false,
+            "serve the interfaces of the platform in platform/");
 DECLARE_bool(help);
 
 namespace almond {
@@ -118,6 +121,7 @@
     std::cerr << "unexpected argument \"" << argv[1] << "\"\n";
     return 1;
   }
+  if (FLAGS_platform) return almond::platform::RunControl();
   signal(SIGPIPE, SIG_IGN);
   almond::ConfigureLogging("almond-controld");
   const auto settings = almond::ReadSettings();
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -10,6 +10,7 @@
 #include "libalmond/net/event_loop.h"
 #include "libalmond/processes/entry_control.h"
 #include "libalmond/processes/entry_process.h"
+#include "platform/programs.h"
 
 DEFINE_string(id, "entry-1", "Name of this entry, unique among the entries");
 DEFINE_string(data_centre, "",
@@ -28,6 +29,8 @@
              "Milliseconds for requests in progress after the listener has "
              "closed, 0 to 3600000");
 
+DEFINE_bool(platform, false,
+            "serve the interfaces of the platform in platform/");
 DECLARE_bool(help);
 
 namespace almond {
@@ -124,6 +127,7 @@
     std::cerr << "almond-entryd: unexpected argument " << argv[1] << "\n";
     return EXIT_FAILURE;
   }
+  if (FLAGS_platform) return almond::platform::RunEntry();
   std::string error;
   const auto settings = almond::ReadSettings(error);
   if (!settings) {
--- /dev/null
+++ b/src/libalmond/config/route_config.h
@@ -0,0 +1,49 @@
+#ifndef ALMOND_CONFIG_ROUTE_CONFIG_H_
+#define ALMOND_CONFIG_ROUTE_CONFIG_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libalmond/core/clock.h"
+#include "libalmond/core/identifiers.h"
+
+namespace almond {
+
+/// Where jobs for one host and path prefix run, and how they are treated.
+struct route {
+  std::string name;
+  std::string host;  ///< without a port, in lower case
+  std::string path_prefix;
+  service_id service;
+  std::uint32_t priority = 0;  ///< 0 comes first
+  std::uint32_t attempts = 1;  ///< failed runs of a task that fail its job
+  /// The objective of a job is its longest chain of work times `stretch`, and
+  /// `slack` more.
+  double stretch = 1;
+  milliseconds slack{0};
+  milliseconds timeout{0};
+};
+
+/// A complete configuration of routes under the operator's own version.
+struct route_config {
+  config_version version;
+  std::vector<route> routes;
+  std::set<service_id> services;
+};
+
+/// @returns all faults of a configuration that could be read: routes to unknown
+///   services, two routes with one host and prefix, timeouts of zero, no
+///   version
+std::vector<std::string> CheckRoutes(const route_config& config);
+
+/// @param host value of the Host header, with or without a port
+/// @returns the route with the longest prefix of the path, or null
+const route* FindRoute(const route_config& config, std::string_view host,
+                       std::string_view path);
+
+}  // namespace almond
+
+#endif  // ALMOND_CONFIG_ROUTE_CONFIG_H_
--- a/src/libalmond/controllers/control/command_codec.cc
+++ b/src/libalmond/controllers/control/command_codec.cc
@@ -120,6 +120,18 @@
   value.document = reader.Text();
 }
 
+void Write(byte_writer& writer, const numbered_config& value) {
+  writer.Number(value.version);
+  writer.Text(value.digest);
+  writer.Text(value.document);
+}
+
+void Read(byte_reader& reader, numbered_config& value) {
+  value.version = config_version(reader.Number());
+  value.digest = reader.Text();
+  value.document = reader.Text();
+}
+
 void Write(byte_writer& writer, const claim_result& value) {
   writer.Number(value.reply ? 1 : 0);
   if (!value.reply) return;
@@ -157,7 +169,7 @@
 }
 
 void Read(byte_reader& reader, change_result& value) {
-  value.outcome = reader.Enumerator(change_outcome::change_id_conflict);
+  value.outcome = reader.Enumerator(change_outcome::not_newer);
   value.version = config_version(reader.Number());
   value.digest = reader.Text();
 }
--- a/src/libalmond/controllers/control/config_store.cc
+++ b/src/libalmond/controllers/control/config_store.cc
@@ -16,23 +16,31 @@
   if (change.expected != newest_) {
     return {change_outcome::version_conflict, newest_, Digest(newest_)};
   }
-  newest_ = newest_.Next();
-  documents_.push_back(change.document);
-  if (documents_.size() > kDocuments) documents_.pop_front();
-  Remember({newest_, change.digest, change.change_id, now});
-  Forget(now);
+  Accept(now, change.document,
+         {newest_.Next(), change.digest, change.change_id, now});
   return {change_outcome::accepted, newest_, change.digest};
 }
 
+change_result config_store::Apply(wall_time now,
+                                  const numbered_config& config) {
+  if (config.version <= newest_) {
+    return {change_outcome::not_newer, newest_, Digest(newest_)};
+  }
+  Accept(now, config.document, {config.version, config.digest, {}, now});
+  return {change_outcome::accepted, newest_, config.digest};
+}
+
 const std::string* config_store::Document(config_version version) const {
-  const std::uint64_t age = newest_.Value() - version.Value();
-  if (version > newest_ || age >= documents_.size()) return nullptr;
-  return &documents_[documents_.size() - 1 - age];
+  const auto found = Find(version);
+  if (found == changes_.end()) return nullptr;
+  const auto age = static_cast<std::size_t>(changes_.end() - found);
+  return age <= documents_.size() ? &documents_[documents_.size() - age]
+                                  : nullptr;
 }
 
 std::string config_store::Digest(config_version version) const {
-  const config_history_entry* change = Change(version);
-  return change == nullptr ? "" : change->digest;
+  const auto found = Find(version);
+  return found == changes_.end() ? "" : found->digest;
 }
 
 std::vector<config_history_entry> config_store::History() const {
@@ -72,14 +80,29 @@
   return reader.Ok();
 }
 
-const config_history_entry* config_store::Change(config_version version) const {
-  const std::uint64_t age = newest_.Value() - version.Value();
-  if (version > newest_ || age >= changes_.size()) return nullptr;
-  return &changes_[changes_.size() - 1 - age];
+std::deque<config_history_entry>::const_iterator config_store::Find(
+    config_version version) const {
+  const auto found = std::lower_bound(
+      changes_.begin(), changes_.end(), version,
+      [](const config_history_entry& change, config_version sought) {
+        return change.version < sought;
+      });
+  return found != changes_.end() && found->version == version ? found
+                                                              : changes_.end();
+}
+
+void config_store::Accept(wall_time now, const std::string& document,
+                          config_history_entry entry) {
+  newest_ = entry.version;
+  documents_.push_back(document);
+  if (documents_.size() > kDocuments) documents_.pop_front();
+  Remember(std::move(entry));
+  Forget(now);
 }
 
 void config_store::Remember(config_history_entry entry) {
-  change_ids_[entry.change_id] = entry.version;
+  // A numbered configuration has no change id.
+  if (entry.change_id != uuid()) change_ids_[entry.change_id] = entry.version;
   changes_.push_back(std::move(entry));
 }
 
--- a/src/libalmond/controllers/control/config_store.h
+++ b/src/libalmond/controllers/control/config_store.h
@@ -22,11 +22,19 @@
   std::string digest;       ///< config_document::Digest
 };
 
+/// A complete configuration under the operator's own version; checked before.
+struct numbered_config {
+  config_version version;
+  std::string document;
+  std::string digest;
+};
+
 /// How a change ended.
 enum class change_outcome : std::uint8_t {
-  accepted,           ///< also the answer to a resend of an accepted change
-  version_conflict,   ///< another version is the newest
-  change_id_conflict  ///< the id belongs to a change with other content
+  accepted,            ///< also the answer to a resend of an accepted change
+  version_conflict,    ///< another version is the newest
+  change_id_conflict,  ///< the id belongs to a change with other content
+  not_newer            ///< a numbered configuration that changes nothing
 };
 
 /// Answer to a change.
@@ -48,7 +56,7 @@
   wall_time accepted;  ///< by the log's time
 };
 
-/// Accepted configurations under consecutive versions. Deterministic, so that
+/// Accepted configurations under rising versions. Deterministic, so that
 /// all replicas hold the same.
 class config_store {
  public:
@@ -66,6 +74,11 @@
   /// @param change a valid document
   change_result Apply(wall_time now, const config_change& change);
 
+  /// The highest version wins: a configuration whose version is not above the
+  /// newest changes nothing, whatever its content.
+  /// @param now the log's time
+  change_result Apply(wall_time now, const numbered_config& config);
+
   /// @returns the newest version, 0 if none was accepted yet
   config_version Newest() const { return newest_; }
   /// @returns the document, or null if the version is unknown or too old
@@ -82,7 +95,10 @@
   bool Load(byte_reader& reader);
 
  private:
-  const config_history_entry* Change(config_version version) const;
+  std::deque<config_history_entry>::const_iterator Find(
+      config_version version) const;
+  void Accept(wall_time now, const std::string& document,
+              config_history_entry entry);
   void Remember(config_history_entry entry);
   void Forget(wall_time now);
 
--- a/src/libalmond/controllers/control/control_command.h
+++ b/src/libalmond/controllers/control/control_command.h
@@ -29,7 +29,7 @@
 struct control_command {
   wall_time now;  ///< by the leader's clock; sets the log's time
   std::variant<ledger_claim_message, ledger_finish_message, takeover_command,
-               config_change>
+               config_change, numbered_config>
       body;
 };
 
@@ -43,7 +43,8 @@
   std::uint32_t taken = 0;  ///< submissions that changed their owner
 };
 
-/// Result of a command, in the order of the command's alternatives.
+/// Result of a command, in the order of the command's alternatives; both kinds
+/// of configuration have the last one.
 using control_result = std::variant<claim_result, ledger_finish_reply_message,
                                     takeover_result, change_result>;
 
--- a/src/libalmond/controllers/control/control_service.cc
+++ b/src/libalmond/controllers/control/control_service.cc
@@ -45,6 +45,36 @@
     on_answer(change_invalid{std::move(errors)});
     return;
   }
+  ProposeChange(Command(config_change{change_id, expected, document.Serialize(),
+                                      document.Digest()}),
+                std::move(on_answer));
+}
+
+void control_service::SetNumbered(const numbered_config& config,
+                                  change_hook on_answer) {
+  LeaderChanged();
+  if (!leader_) {
+    on_answer(change_not_leader{});
+    return;
+  }
+  if (config.version > machine_.Config().Newest()) {
+    ProposeChange(Command(config), std::move(on_answer));
+    return;
+  }
+  // Resends of what is known do not fill the log.
+  Read([this, on_answer = std::move(on_answer)](bool confirmed) {
+    if (!confirmed) {
+      on_answer(change_not_leader{});
+      return;
+    }
+    const config_store& store = machine_.Config();
+    on_answer(change_result{change_outcome::not_newer, store.Newest(),
+                            store.Digest(store.Newest())});
+  });
+}
+
+void control_service::ProposeChange(const control_command& command,
+                                    change_hook on_answer) {
   auto pending = std::make_shared<pending_change>(pending_change{
       clock_.SteadyNow() + kChangeTimeout, std::move(on_answer)});
   changes_.push_back(pending);
@@ -64,10 +94,7 @@
       answer(change_unknown{});
     }
   };
-  hooks_.propose(
-      EncodeCommand(Command(config_change{
-          change_id, expected, document.Serialize(), document.Digest()})),
-      on_end);
+  hooks_.propose(EncodeCommand(command), on_end);
 }
 
 void control_service::Read(read_hook on_confirmed) {
--- a/src/libalmond/controllers/control/control_service.h
+++ b/src/libalmond/controllers/control/control_service.h
@@ -86,6 +86,12 @@
   void ChangeConfig(const uuid& change_id, config_version expected,
                     const config_document& document, change_hook on_answer);
 
+  /// Proposes a configuration under the operator's own version, unless the
+  /// newest one is not below it.
+  /// @param config checked, with its digest
+  /// @param on_answer called once
+  void SetNumbered(const numbered_config& config, change_hook on_answer);
+
   /// Calls back when the state may be read. All reads of one iteration of the
   /// loop share one confirmation.
   void Read(read_hook on_confirmed);
@@ -116,6 +122,7 @@
                   std::function<void(const Result&)> on_result);
   template <typename Body>
   control_command Command(Body body);
+  void ProposeChange(const control_command& command, change_hook on_answer);
   void FlushReads();
   void EndChanges();
   void TakeOverDead();
--- a/src/libalmond/controllers/control/control_state_machine.cc
+++ b/src/libalmond/controllers/control/control_state_machine.cc
@@ -66,4 +66,8 @@
   return config_.Apply(ledger_.Now(), change);
 }
 
+control_result control_state_machine::Run(const numbered_config& config) {
+  return config_.Apply(ledger_.Now(), config);
+}
+
 }  // namespace almond
--- a/src/libalmond/controllers/control/control_state_machine.h
+++ b/src/libalmond/controllers/control/control_state_machine.h
@@ -37,6 +37,7 @@
   control_result Run(const ledger_finish_message& finish);
   control_result Run(const takeover_command& takeover);
   control_result Run(const config_change& change);
+  control_result Run(const numbered_config& config);
 
   ledger_options options_;
   config_store config_;
--- /dev/null
+++ b/src/libalmond/controllers/entry/endpoint_pool.cc
@@ -0,0 +1,181 @@
+#include "libalmond/controllers/entry/endpoint_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almond {
+
+endpoint_pool::endpoint_pool(const clock_interface& clock,
+                             std::mt19937_64& random, data_centre_id own)
+    : clock_(clock), random_(random), own_(std::move(own)) {}
+
+void endpoint_pool::Update(link_id link, const endpoint_state& state) {
+  const auto [found, added] =
+      endpoints_.try_emplace(endpoint_key{link, state.endpoint});
+  record& endpoint = found->second;
+  if (added) {
+    const auto learnt = slowness_.find(state.endpoint);
+    if (learnt != slowness_.end()) endpoint.slowness = learnt->second;
+  }
+  endpoint.state = state;
+  while (!endpoint.unseen.empty() &&
+         endpoint.unseen.front().order <= state.orders_seen) {
+    endpoint.unseen.pop_front();
+  }
+}
+
+void endpoint_pool::RemoveLink(link_id link) {
+  std::erase_if(endpoints_,
+                [link](const auto& entry) { return entry.first.link == link; });
+  orders_.erase(link);
+}
+
+std::optional<endpoint_key> endpoint_pool::Choose(
+    const placement_request& request) {
+  std::uniform_real_distribution<double> jitter(1 - kJitter, 1 + kJitter);
+  const bool avoid = AvoidsSuspects(request.service);
+  std::optional<endpoint_key> best;
+  double best_time = 0;
+  bool best_avoided = false;
+  for (auto& [key, endpoint] : endpoints_) {
+    if (!endpoint.state.accepting ||
+        endpoint.state.service != request.service ||
+        !Unused(endpoint).Holds(request.needed)) {
+      continue;
+    }
+    const bool suspect = avoid && Suspect(endpoint);
+    const bool probe_due =
+        !endpoint.probed ||
+        clock_.SteadyNow() - *endpoint.probed >= kProbePeriod;
+    if (suspect && !probe_due) continue;
+    const bool avoided =
+        std::find(request.failed_at.begin(), request.failed_at.end(),
+                  key.endpoint) != request.failed_at.end();
+    const double time = ExpectedTime(endpoint, request) * jitter(random_);
+    // A suspect endpoint is probed by a task that has no better place.
+    const bool worse = avoided || suspect;
+    if (!best || (best_avoided && !worse) ||
+        (best_avoided == worse && time < best_time)) {
+      best = key;
+      best_time = time;
+      best_avoided = worse;
+    }
+  }
+  return best;
+}
+
+std::pair<std::uint64_t, agent_stamp> endpoint_pool::Place(
+    const endpoint_key& key, const run_key& run, const room& needed,
+    milliseconds estimate) {
+  record& endpoint = endpoints_.at(key);
+  if (Suspect(endpoint)) endpoint.probed = clock_.SteadyNow();
+  const std::uint64_t order = ++orders_[key.link];
+  endpoint.unseen.push_back({order, needed});
+  endpoint.runs[run] = {clock_.SteadyNow(), estimate};
+  return {order, endpoint.state.stamp};
+}
+
+void endpoint_pool::Ended(const endpoint_key& key, const run_end& end) {
+  const auto found = endpoints_.find(key);
+  if (found == endpoints_.end()) return;
+  record& endpoint = found->second;
+  const auto run = endpoint.runs.find(end.key);
+  if (run == endpoint.runs.end()) return;
+  const placed_run placed = run->second;
+  endpoint.runs.erase(run);
+  if (end.kind == run_end_kind::done) {
+    const double ratio = static_cast<double>(end.ran.count() + 1) /
+                         static_cast<double>(placed.estimate.count() + 1);
+    // Averaged as a logarithm, since estimates are off by factors; a single
+    // straggler says little about its endpoint.
+    const double bounded = std::clamp(ratio, 0.25, 8.0);
+    endpoint.slowness =
+        std::exp((1 - kSlownessWeight) * std::log(endpoint.slowness) +
+                 kSlownessWeight * std::log(bounded));
+    slowness_[key.endpoint] = endpoint.slowness;
+    endpoint.failures *= 1 - kFailureWeight;
+  } else if (end.kind == run_end_kind::failed) {
+    endpoint.failures += (1 - endpoint.failures) * kFailureWeight;
+  }
+}
+
+bool endpoint_pool::CouldHold(const service_id& service,
+                              const room& needed) const {
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
+        const endpoint_state& state = entry.second.state;
+        return state.service == service && state.total.Holds(needed);
+      });
+}
+
+bool endpoint_pool::Serves(const service_id& service) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [&](const auto& entry) {
+                       return entry.second.state.service == service &&
+                              entry.second.state.accepting;
+                     });
+}
+
+std::int64_t endpoint_pool::TotalCpu(const service_id& service) const {
+  std::int64_t total = 0;
+  for (const auto& [key, endpoint] : endpoints_) {
+    if (endpoint.state.service == service && endpoint.state.accepting) {
+      total += endpoint.state.total.cpu_milli;
+    }
+  }
+  return total;
+}
+
+std::int64_t endpoint_pool::UnusedCpu(const service_id& service) const {
+  std::int64_t unused = 0;
+  for (const auto& [key, endpoint] : endpoints_) {
+    if (endpoint.state.service == service && endpoint.state.accepting) {
+      unused += std::max<std::int64_t>(0, Unused(endpoint).cpu_milli);
+    }
+  }
+  return unused;
+}
+
+room endpoint_pool::Unused(const record& endpoint) const {
+  room unused = endpoint.state.unused;
+  for (const sent_order& sent : endpoint.unseen) unused -= sent.needed;
+  return unused;
+}
+
+bool endpoint_pool::AvoidsSuspects(const service_id& service) const {
+  std::size_t known = 0;
+  std::size_t suspects = 0;
+  for (const auto& [key, endpoint] : endpoints_) {
+    if (endpoint.state.service != service || !endpoint.state.accepting) {
+      continue;
+    }
+    ++known;
+    if (Suspect(endpoint)) ++suspects;
+  }
+  return static_cast<double>(suspects) <=
+         kMaxAvoidedShare * static_cast<double>(known);
+}
+
+bool endpoint_pool::Suspect(const record& endpoint) const {
+  if (endpoint.failures > kMaxFailureShare) return true;
+  const steady_time now = clock_.SteadyNow();
+  const auto overdue = static_cast<std::size_t>(std::count_if(
+      endpoint.runs.begin(), endpoint.runs.end(), [now](const auto& entry) {
+        const placed_run& run = entry.second;
+        return now - run.placed > run.estimate * kOverdueFactor;
+      }));
+  return overdue >= kMinOverdue &&
+         static_cast<double>(overdue) >
+             kMaxOverdueShare * static_cast<double>(endpoint.runs.size());
+}
+
+double endpoint_pool::ExpectedTime(const record& endpoint,
+                                   const placement_request& request) const {
+  const double remote = endpoint.state.data_centre == own_
+                            ? 0
+                            : static_cast<double>(kRemoteTime.count());
+  return static_cast<double>(request.estimate.count()) * endpoint.slowness +
+         remote;
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/entry/job_admission.cc
@@ -0,0 +1,58 @@
+#include "libalmond/controllers/entry/job_admission.h"
+
+#include <algorithm>
+
+namespace almond {
+
+void job_admission::Placed(std::int64_t core_ms) {
+  placed_.emplace_back(clock_.SteadyNow(), core_ms);
+  placed_core_ms_ += core_ms;
+  Forget();
+}
+
+std::optional<job_answer> job_admission::Check(const job_request& job,
+                                               milliseconds chain,
+                                               const service_backlog& backlog) {
+  if (backlog.queued_core_ms == 0) return std::nullopt;
+  const milliseconds wait = ExpectedWait(backlog);
+  const auto needed = std::chrono::duration<double, std::milli>(wait + chain);
+  if (needed <= job.timeout * kTolerance) return std::nullopt;
+  return job_answer{job_outcome::overloaded, refusal_reason::overloaded,
+                    std::max(kMinRetryAfter, wait)};
+}
+
+milliseconds job_admission::ExpectedWait(const service_backlog& backlog) {
+  Forget();
+  // Processor time that this entry gets in each millisecond.
+  const double floor =
+      kMinShare * static_cast<double>(backlog.total_cpu_milli) / 1000;
+  const double measured = static_cast<double>(placed_core_ms_) /
+                          static_cast<double>(kRateWindow.count());
+  const double rate = std::max({floor, measured, 0.001});
+  return milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(backlog.queued_core_ms) / rate));
+}
+
+void job_admission::Forget() {
+  const steady_time oldest = clock_.SteadyNow() - kRateWindow;
+  while (!placed_.empty() && placed_.front().first < oldest) {
+    placed_core_ms_ -= placed_.front().second;
+    placed_.pop_front();
+  }
+}
+
+milliseconds LongestChain(const std::vector<job_step>& steps) {
+  std::vector<milliseconds> ends;
+  milliseconds longest{0};
+  for (const job_step& step : steps) {
+    milliseconds start{0};
+    for (const std::uint32_t earlier : step.after) {
+      if (earlier < ends.size()) start = std::max(start, ends[earlier]);
+    }
+    ends.push_back(start + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -0,0 +1,461 @@
+#include "libalmond/controllers/entry/parallel_job_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almond {
+namespace {
+
+std::int64_t Milliseconds(duration time) {
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+std::int64_t CoreMs(const job_step& plan) {
+  return plan.needed.cpu_milli * plan.estimate.count() / 1000;
+}
+
+const char* OutcomeName(job_outcome outcome) {
+  switch (outcome) {
+    case job_outcome::complete:
+      return "complete";
+    case job_outcome::failed:
+      return "failed";
+    case job_outcome::overloaded:
+      return "overloaded";
+    case job_outcome::unavailable:
+      return "unavailable";
+    case job_outcome::timed_out:
+      return "timed-out";
+    case job_outcome::interrupted:
+      return "interrupted";
+  }
+  return "";
+}
+
+}  // namespace
+
+parallel_job_controller::parallel_job_controller(const clock_interface& clock,
+                                                 decision_log& log,
+                                                 metrics_registry& metrics,
+                                                 endpoint_pool& endpoints,
+                                                 hooks callbacks)
+    : clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      endpoints_(endpoints),
+      hooks_(std::move(callbacks)),
+      admission_(clock),
+      complete_(metrics.Counter("almond_jobs_total", "outcome=\"complete\"")),
+      failed_(metrics.Counter("almond_jobs_total", "outcome=\"failed\"")),
+      refused_(metrics.Counter("almond_jobs_total", "outcome=\"refused\"")),
+      timed_out_(metrics.Counter("almond_jobs_total", "outcome=\"timed-out\"")),
+      left_(metrics.Counter("almond_jobs_total", "outcome=\"caller-left\"")),
+      placed_(metrics.Counter("almond_runs_placed_total")),
+      again_(metrics.Counter("almond_runs_again_total")),
+      job_seconds_(metrics.Distribution("almond_job_seconds")),
+      wait_seconds_(metrics.Distribution("almond_job_wait_seconds")) {}
+
+caller_id parallel_job_controller::Submit(const route& rule,
+                                          const job_request& request,
+                                          answer_hook on_answer) {
+  last_caller_ = last_caller_.Next();
+  const caller_id caller = last_caller_;
+  if (job* known = Find(request.id)) {
+    known->callers[caller] = std::move(on_answer);
+    known->deadline =
+        std::max(known->deadline, clock_.SteadyNow() + request.timeout);
+    log_.Write("job_joined", {{"job", request.id.Value()}});
+    return caller;
+  }
+  Admit(rule, request, caller, std::move(on_answer));
+  return caller;
+}
+
+void parallel_job_controller::Admit(const route& rule,
+                                    const job_request& request,
+                                    caller_id caller, answer_hook on_answer) {
+  const steady_time now = clock_.SteadyNow();
+  const milliseconds chain = LongestChain(request.steps);
+  if (const auto refused = Refusal(rule, request, chain)) {
+    refused_.Add();
+    metrics_.Refusals(refused->reason).Add();
+    log_.Write("job_refused",
+               {{"job", request.id.Value()},
+                {"route", rule.name},
+                {"reason", Name(refused->reason)},
+                {"timeout_ms", request.timeout.count()},
+                {"chain_ms", chain.count()},
+                {"queued_core_ms", queued_core_ms_[rule.service]},
+                {"unused_cpu_milli", endpoints_.UnusedCpu(rule.service)}});
+    on_answer(*refused);
+    return;
+  }
+  auto entry = std::make_unique<job>();
+  entry->request = request;
+  entry->service = rule.service;
+  entry->route_name = rule.name;
+  entry->attempts = std::max<std::uint32_t>(1, rule.attempts);
+  entry->arrived = now;
+  entry->deadline = now + request.timeout;
+  entry->callers[caller] = std::move(on_answer);
+  const auto objective = std::chrono::duration_cast<duration>(
+      chain * rule.stretch +
+      std::chrono::duration<double, std::milli>(
+          rule.slack + run_queue::kPriorityStep * rule.priority));
+  for (const job_step& plan : request.steps) {
+    step& added = entry->steps.emplace_back();
+    added.plan = plan;
+    added.tasks.resize(plan.count);
+    added.open = plan.count;
+    added.latest_start = now + objective - plan.estimate;
+  }
+  entry->open_steps = static_cast<std::uint32_t>(entry->steps.size());
+  log_.Write("job_accepted", {{"job", request.id.Value()},
+                              {"route", rule.name},
+                              {"tasks", request.steps.front().count},
+                              {"steps", request.steps.size()},
+                              {"estimate_ms", chain.count()},
+                              {"timeout_ms", request.timeout.count()},
+                              {"queued", queue_.size()}});
+  job& added = *(jobs_[request.id] = std::move(entry));
+  ReleaseSteps(added);
+  Dispatch();
+}
+
+std::optional<job_answer> parallel_job_controller::Refusal(
+    const route& rule, const job_request& request, milliseconds chain) {
+  if (!endpoints_.Serves(rule.service)) {
+    return job_answer{job_outcome::unavailable, refusal_reason::no_endpoint,
+                      kRetryAfterUnknown};
+  }
+  for (const job_step& plan : request.steps) {
+    if (!endpoints_.CouldHold(rule.service, plan.needed)) {
+      return job_answer{job_outcome::unavailable,
+                        refusal_reason::exceeds_capacity, std::nullopt};
+    }
+  }
+  return admission_.Check(request, chain, Backlog(rule.service));
+}
+
+void parallel_job_controller::Leave(const job_id& id, caller_id caller) {
+  job* entry = Find(id);
+  if (entry == nullptr || entry->callers.erase(caller) == 0) return;
+  if (!entry->callers.empty()) return;
+  left_.Add();
+  log_.Write("caller_left",
+             {{"job", id.Value()},
+              {"age_ms", Milliseconds(clock_.SteadyNow() - entry->arrived)},
+              {"begun", entry->begun}});
+  End(id, {job_outcome::interrupted, refusal_reason::cancelled, std::nullopt});
+}
+
+void parallel_job_controller::OnEndpointState(link_id link,
+                                              const endpoint_state& state) {
+  endpoints_.Update(link, state);
+  Dispatch();
+}
+
+void parallel_job_controller::OnRunEnd(link_id link, const run_end& end) {
+  const endpoint_key place{link, end.endpoint};
+  endpoints_.Ended(place, end);
+  job* entry = Find(end.key.job);
+  if (entry == nullptr || end.key.step >= entry->steps.size()) return;
+  step& part = entry->steps[end.key.step];
+  if (end.key.index >= part.tasks.size()) return;
+  const task& ended = part.tasks[end.key.index];
+  // An end of an earlier run, or of another try of this job.
+  if (ended.phase != task_phase::placed || ended.run != end.key.run ||
+      ended.place != place) {
+    return;
+  }
+  switch (end.kind) {
+    case run_end_kind::done:
+      TaskDone(*entry, end.key);
+      break;
+    case run_end_kind::failed:
+      TaskFailed(*entry, end.key, end.endpoint);
+      break;
+    case run_end_kind::superseded:
+      part.tasks[end.key.index].run += kRunStep;
+      Again(*entry, end.key);
+      break;
+    case run_end_kind::not_run:
+    case run_end_kind::stopped:
+    case run_end_kind::lost:
+      LogRun("run_again", place, end.key,
+             {{"kind", static_cast<int>(end.kind)}});
+      Again(*entry, end.key);
+      break;
+  }
+  Dispatch();
+}
+
+void parallel_job_controller::OnLinkClosed(link_id link) {
+  endpoints_.RemoveLink(link);
+  const steady_time end = clock_.SteadyNow() + kDoubtPeriod;
+  for (auto& [id, entry] : jobs_) {
+    for (step& part : entry->steps) {
+      for (task& lost : part.tasks) {
+        if (lost.phase != task_phase::placed || lost.place.link != link) {
+          continue;
+        }
+        lost.phase = task_phase::doubtful;
+        lost.doubt_end = end;
+        log_.Write("run_in_doubt", {{"job", id.Value()},
+                                    {"run", lost.run},
+                                    {"endpoint", lost.place.endpoint.Value()},
+                                    {"doubt_ms", kDoubtPeriod.count()}});
+      }
+    }
+  }
+}
+
+void parallel_job_controller::Tick() {
+  const steady_time now = clock_.SteadyNow();
+  std::vector<job_id> late;
+  for (auto& [id, entry] : jobs_) {
+    if (entry->deadline <= now) {
+      late.push_back(id);
+      continue;
+    }
+    // A job of which nothing has run is refused as soon as it cannot end in
+    // time, while its caller can still act.
+    if (!entry->begun &&
+        now + entry->steps.front().plan.estimate > entry->deadline) {
+      late.push_back(id);
+      continue;
+    }
+    for (std::uint32_t s = 0; s < entry->steps.size(); ++s) {
+      step& part = entry->steps[s];
+      for (std::uint32_t i = 0; i < part.tasks.size(); ++i) {
+        if (part.tasks[i].phase == task_phase::doubtful &&
+            part.tasks[i].doubt_end <= now) {
+          Enqueue(*entry, s, i);
+        }
+      }
+    }
+  }
+  for (const job_id& id : late) {
+    timed_out_.Add();
+    End(id, TimeoutAnswer(*jobs_.at(id)));
+  }
+  Dispatch();
+}
+
+void parallel_job_controller::EndAll() {
+  while (!jobs_.empty()) {
+    const job& entry = *jobs_.begin()->second;
+    const job_answer answer =
+        entry.begun ? job_answer{job_outcome::interrupted,
+                                 refusal_reason::draining, std::nullopt}
+                    : job_answer{job_outcome::unavailable,
+                                 refusal_reason::draining, milliseconds(0)};
+    End(job_id(entry.request.id), answer);
+  }
+}
+
+void parallel_job_controller::ReleaseSteps(job& entry) {
+  for (std::uint32_t s = 0; s < entry.steps.size(); ++s) {
+    step& part = entry.steps[s];
+    const bool ready =
+        std::all_of(part.plan.after.begin(), part.plan.after.end(),
+                    [&entry](std::uint32_t earlier) {
+                      return entry.steps[earlier].open == 0;
+                    });
+    if (!ready) continue;
+    for (std::uint32_t i = 0; i < part.tasks.size(); ++i) {
+      if (part.tasks[i].phase == task_phase::blocked) Enqueue(entry, s, i);
+    }
+  }
+}
+
+void parallel_job_controller::Enqueue(job& entry, std::uint32_t step_number,
+                                      std::uint32_t index) {
+  step& part = entry.steps[step_number];
+  part.tasks[index].phase = task_phase::waiting;
+  queue_.Add({entry.request.id, step_number, index}, part.latest_start,
+             entry.begun);
+  queued_core_ms_[entry.service] += CoreMs(part.plan);
+}
+
+void parallel_job_controller::Dequeue(job& entry) {
+  for (std::uint32_t s = 0; s < entry.steps.size(); ++s) {
+    step& part = entry.steps[s];
+    for (std::uint32_t i = 0; i < part.tasks.size(); ++i) {
+      if (part.tasks[i].phase != task_phase::waiting) continue;
+      queue_.Remove({entry.request.id, s, i}, part.latest_start, entry.begun);
+      queued_core_ms_[entry.service] -= CoreMs(part.plan);
+    }
+  }
+}
+
+void parallel_job_controller::MarkBegun(job& entry) {
+  if (entry.begun) return;
+  wait_seconds_.Add(clock_.SteadyNow() - entry.arrived);
+  entry.begun = true;
+}
+
+void parallel_job_controller::Dispatch() {
+  // Ends that an order causes at once must not change the queue within Offer.
+  if (dispatching_ || queue_.size() == 0) return;
+  dispatching_ = true;
+  std::vector<job_id> begun;
+  std::map<service_id, std::int64_t> too_large;
+  queue_.Offer(clock_.SteadyNow(), [&](const waiting_task& waiting) {
+    if (!TryPlace(waiting, too_large)) return false;
+    if (!Find(waiting.job)->begun) begun.push_back(waiting.job);
+    return true;
+  });
+  for (const job_id& id : begun) {
+    job& entry = *Find(id);
+    if (entry.begun) continue;
+    // Its other tasks move up in the queue.
+    Dequeue(entry);
+    MarkBegun(entry);
+    for (std::uint32_t s = 0; s < entry.steps.size(); ++s) {
+      for (std::uint32_t i = 0; i < entry.steps[s].tasks.size(); ++i) {
+        if (entry.steps[s].tasks[i].phase == task_phase::waiting) {
+          Enqueue(entry, s, i);
+        }
+      }
+    }
+  }
+  dispatching_ = false;
+}
+
+bool parallel_job_controller::TryPlace(
+    const waiting_task& waiting,
+    std::map<service_id, std::int64_t>& too_large) {
+  job& entry = *Find(waiting.job);
+  step& part = entry.steps[waiting.step];
+  const auto limit = too_large.find(entry.service);
+  if (limit != too_large.end() && part.plan.needed.cpu_milli >= limit->second) {
+    return false;
+  }
+  task& placed = part.tasks[waiting.index];
+  const auto place = endpoints_.Choose(
+      {entry.service, part.plan.needed, part.plan.estimate, placed.failed_at});
+  if (!place) {
+    too_large[entry.service] = part.plan.needed.cpu_milli;
+    return false;
+  }
+  placed.phase = task_phase::placed;
+  placed.place = *place;
+  ++placed.run;
+  queued_core_ms_[entry.service] -= CoreMs(part.plan);
+  admission_.Placed(CoreMs(part.plan));
+  placed_.Add();
+  run_start start;
+  start.endpoint = place->endpoint;
+  start.key = {waiting.job, 0, waiting.step, waiting.index, placed.run};
+  start.service = entry.service;
+  start.spec = entry.request.spec;
+  start.needed = part.plan.needed;
+  std::tie(start.order, start.heard) =
+      endpoints_.Place(*place, start.key, part.plan.needed, part.plan.estimate);
+  LogRun("run_placed", *place, start.key,
+         {{"wait_ms", Milliseconds(clock_.SteadyNow() - entry.arrived)}});
+  hooks_.send(place->link, start);
+  return true;
+}
+
+void parallel_job_controller::Again(job& entry, const run_key& key) {
+  again_.Add();
+  Enqueue(entry, key.step, key.index);
+}
+
+void parallel_job_controller::TaskDone(job& entry, const run_key& key) {
+  step& part = entry.steps[key.step];
+  part.tasks[key.index].phase = task_phase::done;
+  if (--part.open > 0) return;
+  if (--entry.open_steps > 0) {
+    ReleaseSteps(entry);
+    return;
+  }
+  complete_.Add();
+  job_seconds_.Add(clock_.SteadyNow() - entry.arrived);
+  End(job_id(entry.request.id),
+      {job_outcome::complete, refusal_reason::task_failed, std::nullopt});
+}
+
+void parallel_job_controller::TaskFailed(job& entry, const run_key& key,
+                                         const endpoint_id& endpoint) {
+  task& failed = entry.steps[key.step].tasks[key.index];
+  failed.failed_at.push_back(endpoint);
+  log_.Write("run_failed", {{"job", key.job.Value()},
+                            {"step", key.step},
+                            {"index", key.index},
+                            {"run", key.run},
+                            {"endpoint", endpoint.Value()},
+                            {"failures", failed.failures + 1},
+                            {"attempts", entry.attempts}});
+  if (++failed.failures < entry.attempts) {
+    Again(entry, key);
+    return;
+  }
+  failed_.Add();
+  End(job_id(entry.request.id),
+      {job_outcome::failed, refusal_reason::task_failed, std::nullopt});
+}
+
+job_answer parallel_job_controller::TimeoutAnswer(const job& entry) const {
+  if (entry.begun) {
+    return {job_outcome::timed_out, refusal_reason::deadline_running,
+            std::nullopt};
+  }
+  return {job_outcome::overloaded, refusal_reason::deadline_in_queue,
+          kRetryAfterUnknown};
+}
+
+void parallel_job_controller::End(const job_id& id, const job_answer& answer) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  const std::unique_ptr<job> entry = std::move(found->second);
+  Dequeue(*entry);
+  jobs_.erase(found);
+  for (std::uint32_t s = 0; s < entry->steps.size(); ++s) {
+    for (std::uint32_t i = 0; i < entry->steps[s].tasks.size(); ++i) {
+      const task& open = entry->steps[s].tasks[i];
+      if (open.phase != task_phase::placed) continue;
+      hooks_.send(open.place.link,
+                  run_stop{open.place.endpoint, {id, 0, s, i, open.run}});
+    }
+  }
+  log_.Write("job_answered",
+             {{"job", id.Value()},
+              {"route", entry->route_name},
+              {"outcome", OutcomeName(answer.outcome)},
+              {"reason", answer.outcome == job_outcome::complete
+                             ? ""
+                             : std::string(Name(answer.reason))},
+              {"begun", entry->begun},
+              {"age_ms", Milliseconds(clock_.SteadyNow() - entry->arrived)}});
+  for (const auto& [caller, on_answer] : entry->callers) on_answer(answer);
+}
+
+void parallel_job_controller::LogRun(const char* event,
+                                     const endpoint_key& place,
+                                     const run_key& key,
+                                     const nlohmann::json& more) {
+  nlohmann::json fields = more;
+  fields["job"] = key.job.Value();
+  fields["step"] = key.step;
+  fields["index"] = key.index;
+  fields["run"] = key.run;
+  fields["endpoint"] = place.endpoint.Value();
+  log_.Write(event, fields);
+}
+
+parallel_job_controller::job* parallel_job_controller::Find(const job_id& id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+service_backlog parallel_job_controller::Backlog(
+    const service_id& service) const {
+  const auto queued = queued_core_ms_.find(service);
+  return {endpoints_.TotalCpu(service), endpoints_.UnusedCpu(service),
+          queued == queued_core_ms_.end() ? 0 : queued->second};
+}
+
+}  // namespace almond
--- a/src/libalmond/core/clock.h
+++ b/src/libalmond/core/clock.h
@@ -1,6 +1,8 @@
 #ifndef ALMOND_CORE_CLOCK_H_
 #define ALMOND_CORE_CLOCK_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace almond {
@@ -23,8 +25,13 @@
 /// The machine's clocks.
 class system_clock final : public clock_interface {
  public:
+  /// Includes the time for which the machine was suspended, so that no lease
+  /// outlives it.
   steady_time SteadyNow() const override {
-    return std::chrono::steady_clock::now();
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return steady_time(std::chrono::seconds(now.tv_sec) +
+                       std::chrono::nanoseconds(now.tv_nsec));
   }
   wall_time WallNow() const override {
     return std::chrono::system_clock::now();
--- /dev/null
+++ b/src/libalmond/core/room.h
@@ -0,0 +1,38 @@
+#ifndef ALMOND_CORE_ROOM_H_
+#define ALMOND_CORE_ROOM_H_
+
+#include <cstdint>
+
+namespace almond {
+
+/// What a task takes of a minion, or what a minion has: processor, memory and
+/// accelerators.
+struct room {
+  std::int64_t cpu_milli = 0;     ///< thousandths of a core
+  std::int64_t memory_mib = 0;    ///< mebibytes
+  std::int64_t accelerators = 0;  ///< whole accelerators
+
+  bool operator==(const room&) const = default;
+
+  room& operator+=(const room& other) {
+    cpu_milli += other.cpu_milli;
+    memory_mib += other.memory_mib;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  room& operator-=(const room& other) {
+    cpu_milli -= other.cpu_milli;
+    memory_mib -= other.memory_mib;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+  /// @returns true if every part of `needed` fits into this room
+  bool Holds(const room& needed) const {
+    return needed.cpu_milli <= cpu_milli && needed.memory_mib <= memory_mib &&
+           needed.accelerators <= accelerators;
+  }
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_CORE_ROOM_H_
--- a/src/libalmond/filters/filter_chain.h
+++ b/src/libalmond/filters/filter_chain.h
@@ -13,27 +13,32 @@
 
 /// Decides one question about a request.
 /// @returns why the request is refused, or nothing to let it pass
-using request_filter = std::function<std::optional<refusal>(request_context&)>;
+template <typename Context>
+using filter_of = std::function<std::optional<refusal>(Context&)>;
 
 /// Filters in a fixed order; the first refusal ends the chain.
-class filter_chain {
+template <typename Context>
+class filter_chain_of {
  public:
-  explicit filter_chain(std::vector<request_filter> filters)
+  explicit filter_chain_of(std::vector<filter_of<Context>> filters)
       : filters_(std::move(filters)) {}
 
   /// @param request completed by the filters that it passes
   /// @returns the first refusal, or nothing if the request passes them all
-  std::optional<refusal> Run(request_context& request) const {
-    for (const request_filter& filter : filters_) {
+  std::optional<refusal> Run(Context& request) const {
+    for (const filter_of<Context>& filter : filters_) {
       if (auto refused = filter(request)) return refused;
     }
     return std::nullopt;
   }
 
  private:
-  std::vector<request_filter> filters_;
+  std::vector<filter_of<Context>> filters_;
 };
 
+using request_filter = filter_of<request_context>;
+using filter_chain = filter_chain_of<request_context>;
+
 }  // namespace almond
 
 #endif  // ALMOND_FILTERS_FILTER_CHAIN_H_
--- a/src/libalmond/net/event_loop.cc
+++ b/src/libalmond/net/event_loop.cc
@@ -91,6 +91,11 @@
   handle.state_->self = handle.state_;
 }
 
+event_handle event_loop::OnReadable(int descriptor,
+                                    std::function<void()> callback) {
+  return Add(descriptor, EV_READ, nullptr, std::move(callback));
+}
+
 event_handle event_loop::OnSignal(int signal, std::function<void()> callback) {
   return Add(signal, EV_SIGNAL | EV_PERSIST, nullptr, std::move(callback));
 }
--- a/src/libalmond/net/event_loop.h
+++ b/src/libalmond/net/event_loop.h
@@ -58,6 +58,10 @@
   /// @param callback called on the loop for each signal
   event_handle OnSignal(int signal, std::function<void()> callback);
 
+  /// @param descriptor socket, which outlives the handle
+  /// @param callback called once when bytes can be read or the peer has closed
+  event_handle OnReadable(int descriptor, std::function<void()> callback);
+
   /// @returns the libevent base, for the classes of this folder
   event_base* Base() const { return base_; }
 
--- /dev/null
+++ b/src/libalmond/net/evhttp_messages.h
@@ -0,0 +1,30 @@
+#ifndef ALMOND_NET_EVHTTP_MESSAGES_H_
+#define ALMOND_NET_EVHTTP_MESSAGES_H_
+
+#include <event2/http.h>
+
+#include <string>
+
+#include "libalmond/core/socket_address.h"
+#include "libalmond/net/http_message.h"
+
+namespace almond {
+
+/// Conversions between messages and evhttp's requests, for the clients.
+
+evhttp_cmd_type HttpCommand(const std::string& method);
+
+/// Fills headers and body of a request that is to be sent.
+/// @param connection value of the Connection header
+void FillRequest(evhttp_request* message, const socket_address& address,
+                 const http_request& request, const char* connection);
+
+/// @returns the path with its query
+std::string RequestTarget(const http_request& request);
+
+/// Takes the response out of a request that was answered.
+http_response TakeResponse(evhttp_request* message);
+
+}  // namespace almond
+
+#endif  // ALMOND_NET_EVHTTP_MESSAGES_H_
--- a/src/libalmond/net/http_client.cc
+++ b/src/libalmond/net/http_client.cc
@@ -1,12 +1,12 @@
 #include "libalmond/net/http_client.h"
 
-#include <event2/buffer.h>
 #include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 #include <memory>
 #include <utility>
 
+#include "libalmond/net/evhttp_messages.h"
+
 namespace almond {
 namespace {
 
@@ -30,37 +30,16 @@
     evhttp_connection_free_on_completion(connection);
     evhttp_request* message = evhttp_request_new(&http_call::OnDone, this);
     evhttp_request_set_error_cb(message, &http_call::OnError);
-    AddHeaders(message, address, request);
-    evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(),
-                 request.body.size());
-    std::string target = request.path;
-    if (!request.query.empty()) target += "?" + request.query;
+    FillRequest(message, address, request, "close");
     // On failure evhttp has freed the request; nothing was written.
-    if (evhttp_make_request(connection, message, Command(request.method),
-                            target.c_str()) != 0) {
+    if (evhttp_make_request(connection, message, HttpCommand(request.method),
+                            RequestTarget(request).c_str()) != 0) {
       FreeConnection();
       Finish({http_call_outcome::not_sent, {}});
     }
   }
 
  private:
-  static evhttp_cmd_type Command(const std::string& method) {
-    if (method == "POST") return EVHTTP_REQ_POST;
-    if (method == "PUT") return EVHTTP_REQ_PUT;
-    if (method == "DELETE") return EVHTTP_REQ_DELETE;
-    return EVHTTP_REQ_GET;
-  }
-
-  static void AddHeaders(evhttp_request* message, const socket_address& address,
-                         const http_request& request) {
-    evkeyvalq* headers = evhttp_request_get_output_headers(message);
-    evhttp_add_header(headers, "Host", address.ToString().c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    for (const auto& [name, value] : request.headers) {
-      evhttp_add_header(headers, name.c_str(), value.c_str());
-    }
-  }
-
   static void OnError(evhttp_request_error /*error*/, void* argument) {
     static_cast<http_call*>(argument)->failed_ = true;
   }
@@ -75,22 +54,8 @@
       self->FreeConnection();
       self->Finish({http_call_outcome::not_sent, {}});
     } else {
-      self->Finish({http_call_outcome::answered, Response(message)});
-    }
-  }
-
-  static http_response Response(evhttp_request* message) {
-    http_response response;
-    response.status = evhttp_request_get_response_code(message);
-    const evkeyvalq* headers = evhttp_request_get_input_headers(message);
-    for (const evkeyval* field = headers->tqh_first; field != nullptr;
-         field = field->next.tqe_next) {
-      response.headers.emplace_back(field->key, field->value);
+      self->Finish({http_call_outcome::answered, TakeResponse(message)});
     }
-    evbuffer* body = evhttp_request_get_input_buffer(message);
-    response.body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, response.body.data(), response.body.size());
-    return response;
   }
 
   // evhttp frees a connection on completion only if it was established; it may
--- a/src/libalmond/net/http_message.h
+++ b/src/libalmond/net/http_message.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_NET_HTTP_MESSAGE_H_
 #define ALMOND_NET_HTTP_MESSAGE_H_
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,7 @@
   std::string query;   ///< text after the question mark
   http_headers headers;
   std::string body;
+  std::uint64_t number = 0;  ///< set by a server; unique within it
 };
 
 /// An HTTP response.
--- /dev/null
+++ b/src/libalmond/net/http_pool.cc
@@ -0,0 +1,108 @@
+#include "libalmond/net/http_pool.h"
+
+#include <event2/http.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "libalmond/net/evhttp_messages.h"
+
+namespace almond {
+namespace {
+
+constexpr ev_ssize_t kMaxResponseBytes = ev_ssize_t{4} << 20U;
+
+}  // namespace
+
+struct http_pool::call {
+  http_pool* pool = nullptr;
+  evhttp_connection* connection = nullptr;
+  http_call_hook on_end;
+  bool failed = false;
+
+  static void OnError(evhttp_request_error /*error*/, void* argument) {
+    static_cast<call*>(argument)->failed = true;
+  }
+
+  // See http_client.cc for the forms in which evhttp reports failures.
+  static void OnDone(evhttp_request* message, void* argument) {
+    auto* self = static_cast<call*>(argument);
+    if (self->failed || message == nullptr) {
+      self->pool->Finish(self, false, {http_call_outcome::lost, {}});
+    } else if (evhttp_request_get_response_code(message) == 0) {
+      self->pool->Finish(self, false, {http_call_outcome::not_sent, {}});
+    } else {
+      self->pool->Finish(self, true,
+                         {http_call_outcome::answered, TakeResponse(message)});
+    }
+  }
+};
+
+http_pool::http_pool(event_loop& loop, socket_address address)
+    : loop_(loop), address_(std::move(address)) {}
+
+http_pool::~http_pool() {
+  *alive_ = false;
+  for (evhttp_connection* connection : idle_)
+    evhttp_connection_free(connection);
+  for (const auto& open : calls_) {
+    // Ends the call without its hook.
+    evhttp_connection_set_closecb(open->connection, nullptr, nullptr);
+    open->on_end = nullptr;
+    evhttp_connection_free(open->connection);
+  }
+}
+
+void http_pool::Send(const http_request& request, milliseconds timeout,
+                     http_call_hook on_end) {
+  evhttp_connection* connection = TakeConnection();
+  const timeval limit = {timeout.count() / 1000, timeout.count() % 1000 * 1000};
+  evhttp_connection_set_timeout_tv(connection, &limit);
+  calls_.push_back(
+      std::make_unique<call>(call{this, connection, std::move(on_end)}));
+  call* started = calls_.back().get();
+  evhttp_request* message = evhttp_request_new(&call::OnDone, started);
+  evhttp_request_set_error_cb(message, &call::OnError);
+  FillRequest(message, address_, request, "keep-alive");
+  // On failure evhttp has freed the request; nothing was written.
+  if (evhttp_make_request(connection, message, HttpCommand(request.method),
+                          RequestTarget(request).c_str()) != 0) {
+    Finish(started, false, {http_call_outcome::not_sent, {}});
+  }
+}
+
+evhttp_connection* http_pool::TakeConnection() {
+  if (!idle_.empty()) {
+    evhttp_connection* connection = idle_.back();
+    idle_.pop_back();
+    return connection;
+  }
+  evhttp_connection* connection = evhttp_connection_base_new(
+      loop_.Base(), nullptr, address_.ip.c_str(), address_.port);
+  evhttp_connection_set_max_body_size(connection, kMaxResponseBytes);
+  return connection;
+}
+
+void http_pool::Finish(call* ended, bool reusable, http_call_result result) {
+  const auto found =
+      std::find_if(calls_.begin(), calls_.end(),
+                   [ended](const auto& open) { return open.get() == ended; });
+  if (found == calls_.end() || !ended->on_end) return;
+  evhttp_connection* connection = ended->connection;
+  http_call_hook hook = std::move(ended->on_end);
+  std::swap(*found, calls_.back());
+  calls_.pop_back();
+  // evhttp still uses the connection when it calls back.
+  loop_.Post(milliseconds(0),
+             [this, alive = alive_, connection, reusable,
+              hook = std::move(hook), result = std::move(result)] {
+               if (reusable && *alive) {
+                 idle_.push_back(connection);
+               } else {
+                 evhttp_connection_free(connection);
+               }
+               if (*alive) hook(result);
+             });
+}
+
+}  // namespace almond
--- a/src/libalmond/net/http_server.cc
+++ b/src/libalmond/net/http_server.cc
@@ -1,9 +1,12 @@
 #include "libalmond/net/http_server.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
 #include "libalmond/net/socket_util.h"
@@ -81,7 +84,9 @@
 
 http_server::http_server(event_loop& loop, handler handle,
                          std::chrono::seconds idle_timeout)
-    : handle_(std::move(handle)), server_(evhttp_new(loop.Base())) {
+    : loop_(loop),
+      handle_(std::move(handle)),
+      server_(evhttp_new(loop.Base())) {
   evhttp_set_max_body_size(server_, kMaxBodyBytes);
   evhttp_set_max_headers_size(server_, kMaxHeaderBytes);
   evhttp_set_timeout(server_, static_cast<int>(idle_timeout.count()));
@@ -119,10 +124,29 @@
 
 void http_server::Handle(evhttp_request* request) {
   ++*pending_;
-  handle_(ToRequest(request), [request, pending = pending_, closing = closing_,
-                               alive = alive_](const http_response& response) {
-    --*pending;
-    if (*alive) SendResponse(request, response, *closing);
+  http_request received = ToRequest(request);
+  received.number = ++last_number_;
+  if (on_abandoned_) Watch(request, received.number);
+  handle_(received,
+          [this, request, number = received.number, pending = pending_,
+           closing = closing_, alive = alive_](const http_response& response) {
+            --*pending;
+            if (!*alive) return;
+            watches_.erase(number);
+            SendResponse(request, response, *closing);
+          });
+}
+
+void http_server::Watch(evhttp_request* request, std::uint64_t number) {
+  const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(request)));
+  watches_[number] = loop_.OnReadable(descriptor, [this, descriptor, number] {
+    char byte = 0;
+    const ssize_t peeked = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    // Bytes of a next request are left to evhttp, and end the watch.
+    const bool open = peeked > 0 || (peeked < 0 && errno == EAGAIN);
+    watches_.erase(number);
+    if (!open) on_abandoned_(number);
   });
 }
 
--- a/src/libalmond/net/http_server.h
+++ b/src/libalmond/net/http_server.h
@@ -2,8 +2,11 @@
 #define ALMOND_NET_HTTP_SERVER_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <utility>
 
 #include "libalmond/core/socket_address.h"
 #include "libalmond/net/event_loop.h"
@@ -30,6 +33,9 @@
   /// the server is gone.
   using responder = std::function<void(const http_response&)>;
   using handler = std::function<void(const http_request&, responder)>;
+  /// Called with the number of a request whose client closed the connection
+  /// before its response.
+  using abandon_hook = std::function<void(std::uint64_t)>;
 
   /// @param idle_timeout see kIdleTimeout
   http_server(event_loop& loop, handler handle,
@@ -38,10 +44,17 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
+  /// Watches the connections of requests in progress; to be called before
+  /// Listen.
+  void OnAbandoned(abandon_hook on_abandoned) {
+    on_abandoned_ = std::move(on_abandoned);
+  }
   /// @param address IP and port; port 0 takes a free one
   /// @returns false if the address cannot be bound
   bool Listen(const socket_address& address);
   const socket_address& Address() const { return address_; }
+  /// Tells clients with each response to close the connection.
+  void CloseConnections() { *closing_ = true; }
   /// Accepts no more connections; requests in progress go on, and their
   /// responses tell the client to close the connection.
   void StopListening();
@@ -51,8 +64,14 @@
  private:
   static void OnRequest(evhttp_request* request, void* argument);
   void Handle(evhttp_request* request);
+  void Watch(evhttp_request* request, std::uint64_t number);
 
+  event_loop& loop_;
   handler handle_;
+  abandon_hook on_abandoned_;
+  std::uint64_t last_number_ = 0;
+  /// Watches of requests in progress by number.
+  std::map<std::uint64_t, event_handle> watches_;
   evhttp* server_;
   evhttp_bound_socket* socket_ = nullptr;
   socket_address address_;
--- a/src/libalmond/net/peer_dialer.cc
+++ b/src/libalmond/net/peer_dialer.cc
@@ -3,6 +3,7 @@
 #include <event2/bufferevent.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "libalmond/net/socket_util.h"
@@ -10,11 +11,13 @@
 namespace almond {
 
 peer_dialer::peer_dialer(event_loop& loop, const clock_interface& clock,
-                         socket_address address, hooks callbacks)
+                         socket_address address, hooks callbacks,
+                         link_limits limits)
     : loop_(loop),
       clock_(clock),
       address_(std::move(address)),
-      hooks_(std::move(callbacks)) {
+      hooks_(std::move(callbacks)),
+      limits_(limits) {
   redial_timer_ = loop_.After(milliseconds(0), [this] { Dial(); });
 }
 
@@ -54,7 +57,8 @@
     }
   };
   bufferevent_setcb(connecting_, nullptr, nullptr, on_event, this);
-  const timeval timeout = {kConnectTimeout.count() / 1000, 0};
+  const milliseconds limit = std::min(kConnectTimeout, limits_.silence_limit);
+  const timeval timeout = {limit.count() / 1000, limit.count() % 1000 * 1000};
   bufferevent_set_timeouts(connecting_, nullptr, &timeout);
   const sockaddr_in raw = ToSockaddr(address_);
   if (bufferevent_socket_connect(connecting_,
@@ -71,7 +75,7 @@
 }
 
 void peer_dialer::OnConnected(int descriptor) {
-  link_ = peer_link::Create(loop_, clock_, descriptor);
+  link_ = peer_link::Create(loop_, clock_, descriptor, limits_);
   link_->Start({[this](const frame& message) { hooks_.on_frame(message); },
                 [this](const std::string& reason) {
                   link_.reset();
--- a/src/libalmond/net/peer_dialer.h
+++ b/src/libalmond/net/peer_dialer.h
@@ -13,6 +13,7 @@
 class peer_dialer {
  public:
   static constexpr milliseconds kRedialDelay{200};
+  /// Longest time of a connect, unless the link's silence limit is shorter.
   static constexpr milliseconds kConnectTimeout{1000};
 
   struct hooks {
@@ -23,7 +24,7 @@
   };
 
   peer_dialer(event_loop& loop, const clock_interface& clock,
-              socket_address address, hooks callbacks);
+              socket_address address, hooks callbacks, link_limits limits = {});
   ~peer_dialer();
   peer_dialer(const peer_dialer&) = delete;
   peer_dialer& operator=(const peer_dialer&) = delete;
@@ -46,6 +47,7 @@
   const clock_interface& clock_;
   socket_address address_;
   hooks hooks_;
+  link_limits limits_;
   std::shared_ptr<peer_link> link_;
   bufferevent* connecting_ = nullptr;
   event_handle redial_timer_;
--- a/src/libalmond/net/peer_link.cc
+++ b/src/libalmond/net/peer_link.cc
@@ -24,14 +24,17 @@
 
 std::shared_ptr<peer_link> peer_link::Create(event_loop& loop,
                                              const clock_interface& clock,
-                                             int descriptor) {
-  return std::shared_ptr<peer_link>(new peer_link(loop, clock, descriptor));
+                                             int descriptor,
+                                             link_limits limits) {
+  return std::shared_ptr<peer_link>(
+      new peer_link(loop, clock, descriptor, limits));
 }
 
 peer_link::peer_link(event_loop& loop, const clock_interface& clock,
-                     int descriptor)
+                     int descriptor, link_limits limits)
     : loop_(loop),
       clock_(clock),
+      limits_(limits),
       stream_(bufferevent_socket_new(loop.Base(), descriptor,
                                      BEV_OPT_CLOSE_ON_FREE)),
       last_received_(clock.SteadyNow()) {
@@ -46,7 +49,7 @@
   bufferevent_setcb(stream_, &peer_link::OnRead, nullptr, &peer_link::OnEvent,
                     this);
   bufferevent_enable(stream_, EV_READ | EV_WRITE);
-  ping_timer_ = loop_.Every(kPingPeriod, [this] { CheckSilence(); });
+  ping_timer_ = loop_.Every(limits_.ping_period, [this] { CheckSilence(); });
 }
 
 void peer_link::Send(const frame& message) {
@@ -123,8 +126,9 @@
 }
 
 void peer_link::CheckSilence() {
-  if (clock_.SteadyNow() - last_received_ > kSilenceLimit) {
-    Fail("silent for more than 3 s");
+  if (clock_.SteadyNow() - last_received_ > limits_.silence_limit) {
+    Fail("silent for more than " +
+         std::to_string(limits_.silence_limit.count()) + " ms");
     return;
   }
   if (evbuffer_get_length(bufferevent_get_output(stream_)) > kMaxUnsentBytes) {
--- a/src/libalmond/net/peer_link.h
+++ b/src/libalmond/net/peer_link.h
@@ -14,12 +14,17 @@
 
 namespace almond {
 
+/// Times by which a link finds that its peer is silent.
+struct link_limits {
+  milliseconds ping_period{1000};
+  /// Time without a byte from the peer after which the link is given up.
+  milliseconds silence_limit{3000};
+};
+
 /// A connection between two processes of the system that carries frames. Finds
 /// silent connections by pings with a deadline.
 class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
-  static constexpr milliseconds kPingPeriod{1000};
-  static constexpr milliseconds kSilenceLimit{3000};
   /// Unsent bytes at which a peer that does not read is disconnected.
   static constexpr std::size_t kMaxUnsentBytes = std::size_t{64} << 20U;
 
@@ -35,9 +40,11 @@
   /// @param loop the process's loop
   /// @param clock source of time for the silence limit
   /// @param descriptor non-blocking socket; closed with the link
+  /// @param limits both ends should have the same
   static std::shared_ptr<peer_link> Create(event_loop& loop,
                                            const clock_interface& clock,
-                                           int descriptor);
+                                           int descriptor,
+                                           link_limits limits = {});
   ~peer_link();
   peer_link(const peer_link&) = delete;
   peer_link& operator=(const peer_link&) = delete;
@@ -51,7 +58,8 @@
   bool Open() const { return stream_ != nullptr; }
 
  private:
-  peer_link(event_loop& loop, const clock_interface& clock, int descriptor);
+  peer_link(event_loop& loop, const clock_interface& clock, int descriptor,
+            link_limits limits);
   static void OnRead(bufferevent* stream, void* argument);
   static void OnEvent(bufferevent* stream, short events, void* argument);
   void ReadFrames();
@@ -61,6 +69,7 @@
 
   event_loop& loop_;
   const clock_interface& clock_;
+  link_limits limits_;
   bufferevent* stream_;
   hooks hooks_;
   steady_time last_received_;
--- a/src/libalmond/net/peer_listener.cc
+++ b/src/libalmond/net/peer_listener.cc
@@ -10,8 +10,11 @@
 namespace almond {
 
 peer_listener::peer_listener(event_loop& loop, const clock_interface& clock,
-                             accept_hook on_accept)
-    : loop_(loop), clock_(clock), on_accept_(std::move(on_accept)) {}
+                             accept_hook on_accept, link_limits limits)
+    : loop_(loop),
+      clock_(clock),
+      on_accept_(std::move(on_accept)),
+      limits_(limits) {}
 
 peer_listener::~peer_listener() { Close(); }
 
@@ -21,7 +24,8 @@
                          evutil_socket_t descriptor, sockaddr* /*peer*/,
                          int /*length*/, void* argument) {
     auto* self = static_cast<peer_listener*>(argument);
-    self->on_accept_(peer_link::Create(self->loop_, self->clock_, descriptor));
+    self->on_accept_(peer_link::Create(self->loop_, self->clock_, descriptor,
+                                       self->limits_));
   };
   listener_ = evconnlistener_new_bind(
       loop_.Base(), accept, this,
--- a/src/libalmond/processes/agent_entry_links.cc
+++ b/src/libalmond/processes/agent_entry_links.cc
@@ -4,11 +4,12 @@
 #include <utility>
 
 #include "libalmond/core/logging.h"
-#include "libalmond/wire/dispatch_codec.h"
 
 namespace almond {
 
-void agent_entry_links::SetEntries(const std::vector<socket_address>& entries) {
+template <typename Codec>
+void agent_entry_links_of<Codec>::SetEntries(
+    const std::vector<socket_address>& entries) {
   for (auto position = entries_.begin(); position != entries_.end();) {
     const bool listed = std::find(entries.begin(), entries.end(),
                                   position->first) != entries.end();
@@ -25,7 +26,8 @@
   }
 }
 
-void agent_entry_links::Dial(const socket_address& address) {
+template <typename Codec>
+void agent_entry_links_of<Codec>::Dial(const socket_address& address) {
   peer_dialer::hooks callbacks;
   callbacks.on_connected = [this, address] { OnConnected(address); };
   callbacks.on_frame = [this, address](const frame& encoded) {
@@ -35,10 +37,11 @@
     OnClosed(address, reason);
   };
   entries_[address].dialer = std::make_unique<peer_dialer>(
-      loop_, clock_, address, std::move(callbacks));
+      loop_, clock_, address, std::move(callbacks), limits_);
 }
 
-void agent_entry_links::OnConnected(const socket_address& address) {
+template <typename Codec>
+void agent_entry_links_of<Codec>::OnConnected(const socket_address& address) {
   LOG(INFO) << "connected to entry " << address.ToString();
   entry_connection& connection = entries_.at(address);
   last_link_ = last_link_.Next();
@@ -47,9 +50,10 @@
   hooks_.on_connected(connection.link);
 }
 
-void agent_entry_links::OnFrame(const socket_address& address,
-                                const frame& encoded) {
-  const auto message = DecodeEntryMessage(encoded);
+template <typename Codec>
+void agent_entry_links_of<Codec>::OnFrame(const socket_address& address,
+                                          const frame& encoded) {
+  const auto message = Codec::DecodeFromEntry(encoded);
   if (!message) {
     metrics_.Counter("almond_bad_frames_total").Add();
     entries_.at(address).dialer->Close("damaged frame of type " +
@@ -59,21 +63,36 @@
   hooks_.on_message(entries_.at(address).link, *message);
 }
 
-void agent_entry_links::OnClosed(const socket_address& address,
-                                 const std::string& reason) {
+template <typename Codec>
+void agent_entry_links_of<Codec>::OnClosed(const socket_address& address,
+                                           const std::string& reason) {
   LOG(INFO) << "connection to entry " << address.ToString()
             << " ended: " << reason;
   EndLink(entries_.at(address));
 }
 
-void agent_entry_links::EndLink(entry_connection& connection) {
+template <typename Codec>
+void agent_entry_links_of<Codec>::EndLink(entry_connection& connection) {
   const link_id link = std::exchange(connection.link, link_id());
   if (by_link_.erase(link) > 0) hooks_.on_closed(link);
 }
 
-void agent_entry_links::Send(link_id link, const agent_message& message) {
+template <typename Codec>
+void agent_entry_links_of<Codec>::Send(
+    link_id link, const typename Codec::from_agent& message) {
   const auto found = by_link_.find(link);
-  if (found != by_link_.end()) found->second->Send(EncodeAgentMessage(message));
+  if (found != by_link_.end()) found->second->Send(Codec::Encode(message));
 }
 
+template <typename Codec>
+std::vector<link_id> agent_entry_links_of<Codec>::Links() const {
+  std::vector<link_id> links;
+  links.reserve(by_link_.size());
+  for (const auto& [link, dialer] : by_link_) links.push_back(link);
+  return links;
+}
+
+template class agent_entry_links_of<slot_link_codec>;
+template class agent_entry_links_of<run_link_codec>;
+
 }  // namespace almond
--- a/src/libalmond/processes/agent_entry_links.h
+++ b/src/libalmond/processes/agent_entry_links.h
@@ -8,35 +8,41 @@
 #include <unordered_map>
 #include <vector>
 
-#include "libalmond/core/dispatch_messages.h"
 #include "libalmond/core/metrics.h"
 #include "libalmond/net/peer_dialer.h"
+#include "libalmond/processes/link_codecs.h"
 
 namespace almond {
 
 /// An agent's connections to its entries. Each connection has its own id, so
 /// that messages for an older connection to the same entry are dropped.
-class agent_entry_links {
+/// @tparam Codec the messages that they carry, see link_codecs.h
+template <typename Codec>
+class agent_entry_links_of {
  public:
   struct hooks {
     std::function<void(link_id)> on_connected;
     std::function<void(link_id)> on_closed;
-    std::function<void(link_id, const entry_message&)> on_message;
+    std::function<void(link_id, const typename Codec::from_entry&)> on_message;
   };
 
-  agent_entry_links(event_loop& loop, const clock_interface& clock,
-                    metrics_registry& metrics, hooks callbacks)
+  agent_entry_links_of(event_loop& loop, const clock_interface& clock,
+                       metrics_registry& metrics, hooks callbacks,
+                       link_limits limits = {})
       : loop_(loop),
         clock_(clock),
         metrics_(metrics),
-        hooks_(std::move(callbacks)) {}
+        hooks_(std::move(callbacks)),
+        limits_(limits) {}
 
   /// Dials these entries and gives up others that are not connected. A
   /// connected entry is kept: a directory that was just rebuilt lists only some
   /// of the live entries.
   void SetEntries(const std::vector<socket_address>& entries);
   /// Sends a message; dropped if that connection has ended.
-  void Send(link_id link, const agent_message& message);
+  void Send(link_id link, const typename Codec::from_agent& message);
+  /// @returns the established connections
+  std::vector<link_id> Links() const;
   /// @returns number of established connections
   std::size_t Connected() const { return by_link_.size(); }
 
@@ -56,11 +62,14 @@
   const clock_interface& clock_;
   metrics_registry& metrics_;
   hooks hooks_;
+  link_limits limits_;
   std::map<socket_address, entry_connection> entries_;
   std::unordered_map<link_id, peer_dialer*> by_link_;
   link_id last_link_;
 };
 
+using agent_entry_links = agent_entry_links_of<slot_link_codec>;
+
 }  // namespace almond
 
 #endif  // ALMOND_PROCESSES_AGENT_ENTRY_LINKS_H_
--- a/src/libalmond/processes/control_client.cc
+++ b/src/libalmond/processes/control_client.cc
@@ -9,10 +9,11 @@
 control_client::control_client(const clock_interface& clock,
                                metrics_registry& metrics,
                                std::vector<socket_address> addresses,
-                               hooks callbacks)
+                               hooks callbacks, control_client_timing timing)
     : clock_(clock),
       addresses_(std::move(addresses)),
       hooks_(std::move(callbacks)),
+      timing_(timing),
       resends_(metrics.Counter("almond_control_client_resends_total")),
       unavailable_(metrics.Counter("almond_control_client_unavailable_total")),
       moves_(metrics.Counter("almond_control_client_moves_total")) {}
@@ -50,11 +51,11 @@
   const steady_time now = clock_.SteadyNow();
   if (!dialled_) LeaveFor(std::nullopt);
   const bool connect_late = !connected_ && now - dialled_at_ >= kConnectLimit;
-  if (connect_late || now - last_reply_ >= kSilenceLimit) {
+  if (connect_late || now - last_reply_ >= timing_.silence_limit) {
     LeaveFor(std::nullopt);
   }
   if (leave_ && now - dialled_at_ >= kMinStay) Dial();
-  if (now - last_heartbeat_ >= kHeartbeatPeriod) SendHeartbeat();
+  if (now - last_heartbeat_ >= timing_.heartbeat_period) SendHeartbeat();
   SendOpen(kResendPeriod);
   EndLate();
 }
@@ -86,8 +87,13 @@
   LeaveFor(std::nullopt);
 }
 
+void control_client::SetAddresses(std::vector<socket_address> addresses) {
+  addresses_ = std::move(addresses);
+}
+
 bool control_client::LeaderReachable() const {
-  return last_answer_ && clock_.SteadyNow() - *last_answer_ < kSilenceLimit;
+  return last_answer_ &&
+         clock_.SteadyNow() - *last_answer_ < timing_.silence_limit;
 }
 
 template <typename Reply>
@@ -169,7 +175,8 @@
   // refused heartbeat says that it is not the leader.
   if (open_.contains(number)) return;
   leader_here_ = false;
-  last_heartbeat_ = clock_.SteadyNow() - kHeartbeatPeriod + kElectionPause;
+  last_heartbeat_ =
+      clock_.SteadyNow() - timing_.heartbeat_period + kElectionPause;
   if (++leaderless_ >= kMaxLeaderless) LeaveFor(std::nullopt);
 }
 
@@ -182,14 +189,16 @@
   for (const ledger_record& record : reply.takeovers) {
     hooks_.on_takeover(record);
   }
-  if (hooks_.heartbeat().version < reply.newest) FetchConfig();
+  if (hooks_.on_config && hooks_.heartbeat().version < reply.newest) {
+    FetchConfig();
+  }
 }
 
 void control_client::FetchConfig() {
   if (fetching_) return;
   fetching_ = true;
   Open<fetch_config_reply_message>(
-      fetch_config_message{}, kHeartbeatPeriod,
+      fetch_config_message{}, timing_.heartbeat_period,
       [this](const std::optional<fetch_config_reply_message>& reply) {
         fetching_ = false;
         if (reply && reply->version.Value() != 0) {
--- a/src/libalmond/processes/control_client.h
+++ b/src/libalmond/processes/control_client.h
@@ -16,6 +16,14 @@
 
 namespace almond {
 
+/// How often a process tells the leader its state, and when it looks for
+/// another one.
+struct control_client_timing {
+  milliseconds heartbeat_period{1000};
+  /// A control process that answers nothing for so long is left for the next.
+  milliseconds silence_limit{1500};
+};
+
 /// An entry's or agent's side of the control protocol: finds and follows the
 /// leader, sends heartbeats, and resends requests until they are answered or
 /// their time is over. Holds one connection at a time, since thousands of
@@ -23,11 +31,10 @@
 class control_client {
  public:
   static constexpr milliseconds kTickPeriod{100};
-  static constexpr milliseconds kHeartbeatPeriod{1000};
   /// A request without an answer is sent again after this time.
   static constexpr milliseconds kResendPeriod{500};
-  /// A control process that answers nothing for so long is left for the next.
-  static constexpr milliseconds kSilenceLimit{1500};
+  static constexpr milliseconds kSilenceLimit =
+      control_client_timing().silence_limit;
   /// An address that cannot be connected for so long is left for the next.
   static constexpr milliseconds kConnectLimit{500};
   /// Shortest time at one address, so that processes do not dial in a circle
@@ -57,7 +64,7 @@
     std::function<void(const ledger_record&)> on_takeover;
     /// Newest version by the leader, with each heartbeat reply.
     std::function<void(config_version)> on_newest;
-    /// A configuration from the leader.
+    /// A configuration from the leader; without this hook none is fetched.
     std::function<void(config_version, const std::string&)> on_config;
   };
   /// Called once with the answer, or with nothing if none came in time.
@@ -69,7 +76,8 @@
   /// @param addresses of the control processes, at least one
   /// @param callbacks see hooks; all are needed
   control_client(const clock_interface& clock, metrics_registry& metrics,
-                 std::vector<socket_address> addresses, hooks callbacks);
+                 std::vector<socket_address> addresses, hooks callbacks,
+                 control_client_timing timing = {});
 
   /// A claim without an answer in time may still be put on record. The caller
   /// must not start the submission then; the client pursues the claim and ends
@@ -94,7 +102,11 @@
   /// To be called when the dialled connection has ended.
   void OnClosed();
 
-  /// @returns true if the leader answered within the last kSilenceLimit
+  /// Replaces the addresses at which a leader is looked for.
+  /// @param addresses at least one
+  void SetAddresses(std::vector<socket_address> addresses);
+
+  /// @returns true if the leader answered within the silence limit
   bool LeaderReachable() const;
 
  private:
@@ -122,6 +134,7 @@
   const clock_interface& clock_;
   std::vector<socket_address> addresses_;
   hooks hooks_;
+  control_client_timing timing_;
   socket_address target_;
   std::size_t next_address_ = 0;
   bool dialled_ = false;
--- a/src/libalmond/processes/control_client_link.cc
+++ b/src/libalmond/processes/control_client_link.cc
@@ -9,11 +9,12 @@
                                          const clock_interface& clock,
                                          metrics_registry& metrics,
                                          std::vector<socket_address> addresses,
-                                         control_client::hooks callbacks)
+                                         control_client::hooks callbacks,
+                                         control_client_timing timing)
     : loop_(loop),
       clock_(clock),
       client_(clock, metrics, std::move(addresses),
-              WithConnection(std::move(callbacks))) {
+              WithConnection(std::move(callbacks)), timing) {
   client_.Tick();
   tick_timer_ =
       loop_.Every(control_client::kTickPeriod, [this] { client_.Tick(); });
--- a/src/libalmond/processes/control_client_link.h
+++ b/src/libalmond/processes/control_client_link.h
@@ -22,7 +22,8 @@
   control_client_link(event_loop& loop, const clock_interface& clock,
                       metrics_registry& metrics,
                       std::vector<socket_address> addresses,
-                      control_client::hooks callbacks);
+                      control_client::hooks callbacks,
+                      control_client_timing timing = {});
   control_client_link(const control_client_link&) = delete;
   control_client_link& operator=(const control_client_link&) = delete;
 
--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -18,11 +18,15 @@
       random_(std::random_device{}()),
       service_(clock, machine_, metrics_, ServiceHooks()),
       api_(service_, machine_, metrics_, ApiHooks()),
-      http_(loop,
-            [this](const http_request& request,
-                   const http_server::responder& respond) {
-              api_.Handle(request, respond);
-            }),
+      http_(
+          loop,
+          [this](const http_request& request,
+                 const http_server::responder& respond) {
+            if (operator_interface_ && operator_interface_(request, respond)) {
+              return;
+            }
+            api_.Handle(request, respond);
+          }),
       listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
         OnAccept(link);
       }) {}
@@ -61,13 +65,7 @@
 
 control_process_api::hooks control_process::ApiHooks() {
   return {[this] { return Leads(); }, [this] { return LeaderId(); },
-          [this] {
-            const control_address* leader = LeaderAddress();
-            return leader == nullptr || !leader->http
-                       ? ""
-                       : leader->http->ToString();
-          },
-          [this] { return Replicas(); }};
+          [this] { return LeaderHttp(); }, [this] { return Replicas(); }};
 }
 
 replica_host_settings control_process::HostSettings() const {
@@ -142,6 +140,11 @@
   return found == settings_.replicas.end() ? nullptr : &*found;
 }
 
+std::string control_process::LeaderHttp() const {
+  const control_address* leader = LeaderAddress();
+  return leader == nullptr || !leader->http ? "" : leader->http->ToString();
+}
+
 std::vector<replica_summary> control_process::Replicas() const {
   const replica_status status = host_->Status();
   std::vector<replica_summary> result;
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_PROCESSES_CONTROL_PROCESS_H_
 #define ALMOND_PROCESSES_CONTROL_PROCESS_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,6 +33,13 @@
   /// @param clock source of time; outlives the process
   control_process(event_loop& loop, const clock_interface& clock,
                   control_settings settings);
+  /// Serves operators through another interface besides the own one.
+  /// @param serve returns true if it has taken the request
+  void SetOperatorInterface(
+      std::function<bool(const http_request&, const http_server::responder&)>
+          serve) {
+    operator_interface_ = std::move(serve);
+  }
   control_process(const control_process&) = delete;
   control_process& operator=(const control_process&) = delete;
 
@@ -39,6 +47,11 @@
   /// @returns nothing, or why it cannot start
   std::optional<std::string> Start();
 
+  control_service& Service() { return service_; }
+  const control_state_machine& State() const { return machine_; }
+  /// @returns the leader's address for operators, empty if not known
+  std::string LeaderHttp() const;
+
   /// @returns true if this replica leads the cluster
   bool Leads() const { return host_ && host_->IsLeader(); }
   const socket_address& HttpAddress() const { return http_.Address(); }
@@ -67,6 +80,8 @@
   control_state_machine machine_;
   control_service service_;
   control_process_api api_;
+  std::function<bool(const http_request&, const http_server::responder&)>
+      operator_interface_;
   http_server http_;
   peer_listener listener_;
   std::map<link_id, std::shared_ptr<peer_link>> links_;
--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -90,6 +90,7 @@
       body["reason"] = "version-conflict";
       return JsonResponse(409, body);
     case change_outcome::change_id_conflict:
+    case change_outcome::not_newer:  // only for numbered configurations
       break;
   }
   return ReasonResponse(409, "change-id-conflict");
--- a/src/libalmond/processes/entry_links.cc
+++ b/src/libalmond/processes/entry_links.cc
@@ -3,33 +3,39 @@
 #include <utility>
 
 #include "libalmond/core/logging.h"
-#include "libalmond/wire/dispatch_codec.h"
 
 namespace almond {
 
-entry_links::entry_links(event_loop& loop, const clock_interface& clock,
-                         metrics_registry& metrics, hooks callbacks,
-                         milliseconds announce_limit)
+template <typename Codec>
+entry_links_of<Codec>::entry_links_of(
+    event_loop& loop, const clock_interface& clock, metrics_registry& metrics,
+    hooks callbacks, milliseconds announce_limit, link_limits limits)
     : loop_(loop),
       metrics_(metrics),
       hooks_(std::move(callbacks)),
       listener_(
           loop, clock,
-          [this](const std::shared_ptr<peer_link>& link) { OnAccept(link); }),
+          [this](const std::shared_ptr<peer_link>& link) { OnAccept(link); },
+          limits),
       announce_limit_(announce_limit) {}
 
-void entry_links::Send(link_id link, const entry_message& message) {
+template <typename Codec>
+void entry_links_of<Codec>::Send(link_id link,
+                                 const typename Codec::from_entry& message) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
-  found->second.link->Send(EncodeEntryMessage(message));
+  found->second.link->Send(Codec::Encode(message));
 }
 
-void entry_links::SendToAll(const entry_message& message) {
-  const frame encoded = EncodeEntryMessage(message);
+template <typename Codec>
+void entry_links_of<Codec>::SendToAll(
+    const typename Codec::from_entry& message) {
+  const frame encoded = Codec::Encode(message);
   for (const auto& [id, accepted] : links_) accepted.link->Send(encoded);
 }
 
-void entry_links::Close(link_id link) {
+template <typename Codec>
+void entry_links_of<Codec>::Close(link_id link) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
   const auto closed = found->second.link;
@@ -40,7 +46,8 @@
   loop_.Post(duration(0), [closed] {});
 }
 
-void entry_links::OnAccept(const std::shared_ptr<peer_link>& link) {
+template <typename Codec>
+void entry_links_of<Codec>::OnAccept(const std::shared_ptr<peer_link>& link) {
   last_link_ = last_link_.Next();
   const link_id id = last_link_;
   accepted_link& accepted = links_[id];
@@ -55,18 +62,20 @@
                }});
 }
 
-void entry_links::CloseUnannounced(link_id link) {
+template <typename Codec>
+void entry_links_of<Codec>::CloseUnannounced(link_id link) {
   LOG(INFO) << "a connection is closed since no agent announced itself";
   metrics_.Counter("almond_unannounced_connections_total").Add();
   Close(link);
   hooks_.on_closed(link);
 }
 
-void entry_links::OnFrame(link_id link, const frame& encoded) {
+template <typename Codec>
+void entry_links_of<Codec>::OnFrame(link_id link, const frame& encoded) {
   if (links_.count(link) == 0) return;
-  const auto message = DecodeAgentMessage(encoded);
+  const auto message = Codec::DecodeFromAgent(encoded);
   if (message) {
-    if (std::holds_alternative<announce_message>(*message)) {
+    if (Codec::Announces(*message)) {
       links_.at(link).announce_timer.Reset();
     }
     hooks_.on_message(link, *message);
@@ -77,4 +86,7 @@
   hooks_.on_closed(link);
 }
 
+template class entry_links_of<slot_link_codec>;
+template class entry_links_of<run_link_codec>;
+
 }  // namespace almond
--- a/src/libalmond/processes/entry_links.h
+++ b/src/libalmond/processes/entry_links.h
@@ -5,18 +5,20 @@
 #include <map>
 #include <memory>
 
-#include "libalmond/core/dispatch_messages.h"
 #include "libalmond/core/metrics.h"
 #include "libalmond/net/peer_listener.h"
+#include "libalmond/processes/link_codecs.h"
 
 namespace almond {
 
 /// The connections of agents to an entry, numbered in the order in which they
 /// were accepted.
-class entry_links {
+/// @tparam Codec the messages that they carry, see link_codecs.h
+template <typename Codec>
+class entry_links_of {
  public:
   struct hooks {
-    std::function<void(link_id, const agent_message&)> on_message;
+    std::function<void(link_id, const typename Codec::from_agent&)> on_message;
     std::function<void(link_id)> on_closed;
   };
 
@@ -24,9 +26,10 @@
   /// without one is closed, so that strangers cannot hold connections.
   static constexpr milliseconds kAnnounceLimit{5000};
 
-  entry_links(event_loop& loop, const clock_interface& clock,
-              metrics_registry& metrics, hooks callbacks,
-              milliseconds announce_limit = kAnnounceLimit);
+  entry_links_of(event_loop& loop, const clock_interface& clock,
+                 metrics_registry& metrics, hooks callbacks,
+                 milliseconds announce_limit = kAnnounceLimit,
+                 link_limits limits = {});
 
   /// @returns false if the address cannot be bound
   bool Listen(const socket_address& address) {
@@ -34,8 +37,8 @@
   }
   const socket_address& Address() const { return listener_.Address(); }
   /// Sends a message; ignored if the connection has ended.
-  void Send(link_id link, const entry_message& message);
-  void SendToAll(const entry_message& message);
+  void Send(link_id link, const typename Codec::from_entry& message);
+  void SendToAll(const typename Codec::from_entry& message);
   /// Ends a connection without a callback.
   void Close(link_id link);
   std::size_t size() const { return links_.size(); }
@@ -59,6 +62,8 @@
   link_id last_link_;
 };
 
+using entry_links = entry_links_of<slot_link_codec>;
+
 }  // namespace almond
 
 #endif  // ALMOND_PROCESSES_ENTRY_LINKS_H_
--- /dev/null
+++ b/src/libalmond/processes/job_entry.cc
@@ -0,0 +1,237 @@
+#include "libalmond/processes/job_entry.h"
+
+#include <unistd.h>
+
+namespace almond {
+
+job_entry::job_entry(event_loop& loop, const clock_interface& clock,
+                     job_entry_settings settings, job_interface adapter)
+    : loop_(loop),
+      clock_(clock),
+      settings_(std::move(settings)),
+      adapter_(std::move(adapter)),
+      incarnation_(std::random_device{}()),
+      random_(std::random_device{}()),
+      log_(clock, metrics_, settings_.id.Value(),
+           decision_log::ToDescriptor(STDOUT_FILENO)),
+      routes_(clock),
+      endpoints_(clock, random_, settings_.data_centre),
+      links_(loop, clock, metrics_,
+             {[this](link_id link, const agent_run_message& message) {
+                OnMessage(link, message);
+              },
+              [this](link_id link) {
+                log_.Write("agent_lost", {{"link", link.Value()}});
+                jobs_.OnLinkClosed(link);
+              }},
+             run_entry_links::kAnnounceLimit, kRunLinkLimits),
+      jobs_(clock, log_, metrics_, endpoints_,
+            {[this](link_id link, const entry_run_message& message) {
+              links_.Send(link, message);
+            }}),
+      filters_({MakeRouteFilter(routes_), MakeJobDrainingFilter([this] {
+                  return drain_start_ && clock_.SteadyNow() - *drain_start_ >=
+                                             settings_.drain_accept;
+                }),
+                MakeJobBodyFilter([this](const job_context& context) {
+                  return adapter_.decode_job(*decoding_, context);
+                })}),
+      http_(loop,
+            [this](const http_request& request,
+                   const http_server::responder& respond) {
+              OnRequest(request, respond);
+            }),
+      ready_http_(loop,
+                  [this](const http_request& request,
+                         const http_server::responder& respond) {
+                    OnReadiness(request, respond);
+                  }),
+      metrics_http_(
+          loop,
+          [this](const http_request& /*request*/,
+                 const http_server::responder& respond) {
+            respond(
+                {200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
+          }),
+      control_(loop, clock, metrics_, settings_.control, ClientHooks(),
+               settings_.control_timing) {}
+
+std::optional<std::string> job_entry::Start() {
+  http_.OnAbandoned([this](std::uint64_t request) { OnAbandoned(request); });
+  const auto listen = [](auto& server, const socket_address& address) {
+    return server.Listen(address)
+               ? std::nullopt
+               : std::optional("cannot listen on " + address.ToString());
+  };
+  if (auto error = listen(links_, settings_.listen_peer)) return error;
+  if (auto error = listen(ready_http_, settings_.listen_ready)) return error;
+  if (auto error = listen(metrics_http_, settings_.listen_metrics)) {
+    return error;
+  }
+  if (auto error = listen(http_, settings_.listen_http)) return error;
+  tick_timer_ =
+      loop_.Every(parallel_job_controller::kTickPeriod, [this] { Tick(); });
+  log_.Write("started", {{"http", settings_.listen_http.ToString()},
+                         {"peer", settings_.listen_peer.ToString()},
+                         {"data_centre", settings_.data_centre.Value()}});
+  return std::nullopt;
+}
+
+void job_entry::Drain(std::function<void()> on_drained) {
+  if (drain_start_) return;
+  log_.Write("stopping", {{"jobs", jobs_.Jobs()}});
+  drain_start_ = clock_.SteadyNow();
+  on_drained_ = std::move(on_drained);
+  http_.CloseConnections();
+  control_.Client().SendHeartbeat();
+}
+
+void job_entry::SetControl(std::vector<socket_address> control) {
+  control_.Client().SetAddresses(std::move(control));
+}
+
+control_client::hooks job_entry::ClientHooks() {
+  control_client::hooks hooks;
+  hooks.heartbeat = [this] { return Heartbeat(); };
+  hooks.on_entries = [](const std::vector<entry_address>& /*entries*/) {};
+  hooks.on_takeover = [](const ledger_record& /*record*/) {};
+  hooks.on_newest = [this](config_version newest) { OnNewest(newest); };
+  hooks.on_config = [this](config_version version,
+                           const std::string& document) {
+    OnConfig(version, document);
+  };
+  return hooks;
+}
+
+heartbeat_message job_entry::Heartbeat() const {
+  heartbeat_message heartbeat;
+  heartbeat.role = process_role::entry;
+  heartbeat.id = settings_.id.Value();
+  heartbeat.incarnation = incarnation_;
+  heartbeat.data_centre = settings_.data_centre;
+  heartbeat.peer_address = links_.Address().ToString();
+  heartbeat.http_address = http_.Address().ToString();
+  heartbeat.version = routes_.Version();
+  heartbeat.leaving = drain_start_.has_value();
+  return heartbeat;
+}
+
+void job_entry::OnRequest(const http_request& request,
+                          const http_server::responder& respond) {
+  job_context context = adapter_.decode_request(request);
+  decoding_ = &request;
+  const auto refused = filters_.Run(context);
+  decoding_ = nullptr;
+  if (refused) {
+    metrics_.Refusals(refused->reason).Add();
+    log_.Write("request_refused",
+               {{"path", context.path},
+                {"host", context.host},
+                {"reason", Name(refused->reason)},
+                {"detail", refused->detail},
+                {"config_version", routes_.Version().Value()},
+                {"config_fresh", routes_.Fresh()}});
+    respond(adapter_.encode_refusal(*refused));
+    return;
+  }
+  if (context.verb == job_verb::submit) {
+    Submit(request, context, respond);
+  } else if (context.verb == job_verb::look_up && context.name.empty()) {
+    // Jobs whose callers wait are not listed, so no job of the route is.
+    respond(adapter_.encode_queue(0));
+  } else {
+    respond(
+        adapter_.encode_refusal({refusal_reason::unknown_job,
+                                 run_outcome::not_run, "no such job is kept"}));
+  }
+}
+
+void job_entry::Submit(const http_request& request, const job_context& context,
+                       const http_server::responder& respond) {
+  const std::uint64_t number = request.number;
+  const job_id id = context.job->id;
+  const auto answered = std::make_shared<bool>(false);
+  const caller_id caller =
+      jobs_.Submit(*context.rule, *context.job,
+                   [this, number, respond, answered](const job_answer& answer) {
+                     *answered = true;
+                     callers_.erase(number);
+                     respond(adapter_.encode_answer(answer));
+                   });
+  if (!*answered) callers_[number] = {id, caller, respond};
+}
+
+void job_entry::OnAbandoned(std::uint64_t request) {
+  const auto found = callers_.find(request);
+  if (found == callers_.end()) return;
+  const waiting_caller left = found->second;
+  callers_.erase(found);
+  jobs_.Leave(left.job, left.caller);
+  // Nobody reads it, but evhttp keeps the request until it is answered.
+  left.respond(
+      adapter_.encode_refusal({refusal_reason::cancelled, run_outcome::unknown,
+                               "the caller has left"}));
+}
+
+void job_entry::OnReadiness(const http_request& request,
+                            const http_server::responder& respond) const {
+  const bool known = request.path == adapter_.readiness_path;
+  const bool ready =
+      known && !drain_start_ && routes_.Routes() && endpoints_.size() > 0;
+  respond({ready ? 200 : 503,
+           {{"Content-Type", "application/json"}},
+           ready ? "{\"ready\":true}" : "{\"ready\":false}"});
+}
+
+void job_entry::OnMessage(link_id link, const agent_run_message& message) {
+  if (const auto* state = std::get_if<endpoint_state>(&message)) {
+    jobs_.OnEndpointState(link, *state);
+  } else {
+    jobs_.OnRunEnd(link, std::get<run_end>(message));
+  }
+}
+
+void job_entry::OnConfig(config_version version, const std::string& document) {
+  auto routes = adapter_.decode_routes(document);
+  if (!routes) {
+    log_.Write("config_unreadable", {{"version", version.Value()}});
+    return;
+  }
+  routes->version = version;
+  if (!routes_.Offer(std::move(*routes))) return;
+  OnNewest(version);
+  log_.Write("config_in_force", {{"version", version.Value()},
+                                 {"routes", routes_.Routes()->routes.size()}});
+  control_.Client().SendHeartbeat();
+}
+
+void job_entry::OnNewest(config_version newest) {
+  routes_.Announced(newest);
+  metrics_.Gauge("almond_config_version")
+      .Set(static_cast<double>(routes_.Version().Value()));
+}
+
+void job_entry::Tick() {
+  jobs_.Tick();
+  log_.Flush();
+  if (routes_.Fresh() != was_fresh_) {
+    was_fresh_ = routes_.Fresh();
+    log_.Write(was_fresh_ ? "control_regained" : "control_lost",
+               {{"config_version", routes_.Version().Value()}});
+  }
+  CheckDrained();
+}
+
+void job_entry::CheckDrained() {
+  if (!drain_start_ || !on_drained_) return;
+  const duration age = clock_.SteadyNow() - *drain_start_;
+  if (age < settings_.drain_accept) return;
+  if (age < settings_.drain_limit && http_.Pending() > 0) return;
+  log_.Write("stopped", {{"jobs", jobs_.Jobs()}});
+  jobs_.EndAll();
+  // The last answers are written before the process ends.
+  constexpr milliseconds kWriteTime{100};
+  loop_.Post(kWriteTime, std::exchange(on_drained_, nullptr));
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/run_agent.cc
@@ -0,0 +1,208 @@
+#include "libalmond/processes/run_agent.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace almond {
+
+run_agent::run_agent(event_loop& loop, const clock_interface& clock,
+                     run_agent_settings settings, endpoint_interface adapter)
+    : loop_(loop),
+      clock_(clock),
+      settings_(std::move(settings)),
+      adapter_(std::move(adapter)),
+      incarnation_(std::random_device{}()),
+      log_(clock, metrics_, settings_.id.Value(),
+           decision_log::ToDescriptor(STDOUT_FILENO)),
+      links_(loop, clock, metrics_,
+             {[this](link_id link) {
+                log_.Write("entry_connected", {{"link", link.Value()}});
+                SendStatesTo(link);
+              },
+              [this](link_id link) { OnClosed(link); },
+              [this](link_id link, const entry_run_message& message) {
+                OnMessage(link, message);
+              }},
+             kRunLinkLimits),
+      http_(loop,
+            [this](const http_request& request,
+                   const http_server::responder& respond) {
+              OnRequest(request, respond);
+            }),
+      metrics_http_(
+          loop,
+          [this](const http_request& /*request*/,
+                 const http_server::responder& respond) {
+            respond(
+                {200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
+          }),
+      control_(loop, clock, metrics_, settings_.control, ClientHooks(),
+               settings_.control_timing) {}
+
+std::optional<std::string> run_agent::Start() {
+  if (!http_.Listen(settings_.listen_http)) {
+    return "cannot listen on " + settings_.listen_http.ToString();
+  }
+  if (!metrics_http_.Listen(settings_.listen_metrics)) {
+    return "cannot listen on " + settings_.listen_metrics.ToString();
+  }
+  tick_timer_ = loop_.Every(run_controller::kTickPeriod, [this] { Tick(); });
+  announce_timer_ = loop_.Every(kAnnouncePeriod, [this] { SendStates(); });
+  log_.Write("started", {{"http", settings_.listen_http.ToString()},
+                         {"data_centre", settings_.data_centre.Value()}});
+  return std::nullopt;
+}
+
+void run_agent::Drain(std::function<void()> on_drained) {
+  if (drain_start_) return;
+  drain_start_ = clock_.SteadyNow();
+  on_drained_ = std::move(on_drained);
+  std::size_t runs = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    endpoint->Leave();
+    runs += endpoint->Runs();
+  }
+  log_.Write("stopping", {{"runs", runs}});
+  SendStates();
+}
+
+void run_agent::SetControl(std::vector<socket_address> control) {
+  control_.Client().SetAddresses(std::move(control));
+}
+
+control_client::hooks run_agent::ClientHooks() {
+  control_client::hooks hooks;
+  hooks.heartbeat = [this] { return Heartbeat(); };
+  hooks.on_entries = [this](const std::vector<entry_address>& entries) {
+    OnEntries(entries);
+  };
+  hooks.on_takeover = [](const ledger_record& /*record*/) {};
+  hooks.on_newest = [](config_version /*newest*/) {};
+  return hooks;
+}
+
+heartbeat_message run_agent::Heartbeat() const {
+  heartbeat_message heartbeat;
+  heartbeat.role = process_role::agent;
+  heartbeat.id = settings_.id.Value();
+  heartbeat.incarnation = incarnation_;
+  heartbeat.data_centre = settings_.data_centre;
+  heartbeat.http_address = http_.Address().ToString();
+  heartbeat.leaving = drain_start_.has_value();
+  return heartbeat;
+}
+
+run_controller::hooks run_agent::RunHooks() {
+  run_controller::hooks hooks;
+  hooks.start = adapter_.start;
+  hooks.stop = adapter_.stop;
+  hooks.renew = adapter_.renew;
+  hooks.on_end = [this](link_id link, const run_end& end) {
+    links_.Send(link, end);
+  };
+  hooks.on_change = [this] { ScheduleStates(); };
+  return hooks;
+}
+
+void run_agent::OnRequest(const http_request& request,
+                          const http_server::responder& respond) {
+  const auto decoded = adapter_.decode(request);
+  if (const auto* refused = std::get_if<http_response>(&decoded)) {
+    metrics_.Counter("almond_agent_bad_announcements_total").Add();
+    log_.Write("announcement_refused",
+               {{"path", request.path}, {"status", refused->status}});
+    respond(*refused);
+    return;
+  }
+  if (const auto* gone = std::get_if<endpoint_departure>(&decoded)) {
+    const auto found = endpoints_.find(gone->id);
+    if (found != endpoints_.end()) found->second->Gone();
+  } else {
+    const auto& announced = std::get<leased_endpoint>(decoded);
+    auto& endpoint = endpoints_[announced.id];
+    if (!endpoint) {
+      const auto fence = std::chrono::duration_cast<milliseconds>(
+                             clock_.WallNow().time_since_epoch())
+                             .count();
+      endpoint = std::make_unique<run_controller>(
+          clock_, log_, metrics_, static_cast<std::uint64_t>(fence),
+          RunHooks());
+    }
+    endpoint->Announce(announced);
+  }
+  respond(adapter_.acknowledge());
+}
+
+void run_agent::OnMessage(link_id link, const entry_run_message& message) {
+  if (const auto* stop = std::get_if<run_stop>(&message)) {
+    const auto found = endpoints_.find(stop->endpoint);
+    if (found != endpoints_.end()) found->second->Stop(link, stop->key);
+    return;
+  }
+  const auto& start = std::get<run_start>(message);
+  orders_seen_[link] = start.order;
+  const auto found = endpoints_.find(start.endpoint);
+  if (found == endpoints_.end()) {
+    links_.Send(link,
+                run_end{start.endpoint, start.key, run_end_kind::not_run});
+    return;
+  }
+  found->second->Start(link, start);
+}
+
+void run_agent::OnClosed(link_id link) {
+  log_.Write("entry_lost", {{"link", link.Value()}});
+  orders_seen_.erase(link);
+  for (const auto& [id, endpoint] : endpoints_) endpoint->LinkClosed(link);
+}
+
+void run_agent::OnEntries(const std::vector<entry_address>& entries) {
+  std::vector<socket_address> addresses;
+  addresses.reserve(entries.size());
+  for (const entry_address& entry : entries) {
+    const auto address = socket_address::Parse(entry.peer_address);
+    if (address) addresses.push_back(*address);
+  }
+  links_.SetEntries(addresses);
+}
+
+void run_agent::ScheduleStates() {
+  if (state_timer_.Active()) return;
+  state_timer_ = loop_.After(kCollectPeriod, [this] { SendStates(); });
+}
+
+void run_agent::SendStates() {
+  state_timer_.Reset();
+  for (const link_id link : links_.Links()) SendStatesTo(link);
+}
+
+void run_agent::SendStatesTo(link_id link) {
+  for (const auto& [id, endpoint] : endpoints_) {
+    endpoint_state state = endpoint->State();
+    state.data_centre = settings_.data_centre;
+    const auto seen = orders_seen_.find(link);
+    state.orders_seen = seen == orders_seen_.end() ? 0 : seen->second;
+    links_.Send(link, state);
+  }
+}
+
+void run_agent::Tick() {
+  std::size_t runs = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    endpoint->Tick();
+    runs += endpoint->Runs();
+  }
+  log_.Flush();
+  metrics_.Gauge("almond_agent_runs").Set(static_cast<double>(runs));
+  if (!drain_start_ || !on_drained_) return;
+  if (runs > 0 && clock_.SteadyNow() - *drain_start_ < settings_.drain_limit) {
+    return;
+  }
+  log_.Write("stopped", {{"runs", runs}});
+  std::exchange(on_drained_, nullptr)();
+}
+
+}  // namespace almond
--- /dev/null
+++ b/src/libalmond/processes/run_agent.h
@@ -0,0 +1,115 @@
+#ifndef ALMOND_PROCESSES_RUN_AGENT_H_
+#define ALMOND_PROCESSES_RUN_AGENT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libalmond/controllers/agent/run_controller.h"
+#include "libalmond/core/decision_log.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/net/http_server.h"
+#include "libalmond/processes/agent_entry_links.h"
+#include "libalmond/processes/control_client_link.h"
+#include "libalmond/processes/run_link_limits.h"
+
+namespace almond {
+
+using run_agent_links = agent_entry_links_of<run_link_codec>;
+
+/// Settings of an agent for endpoints under leases.
+struct run_agent_settings {
+  agent_id id;
+  data_centre_id data_centre;
+  socket_address listen_http;  ///< for the endpoint's announcements
+  socket_address listen_metrics;
+  std::vector<socket_address> control;
+  control_client_timing control_timing;
+  /// Time after the signal to end at which the process ends in any case.
+  milliseconds drain_limit{4500};
+};
+
+/// An endpoint says that it is gone.
+struct endpoint_departure {
+  endpoint_id id;
+};
+
+/// How an agent speaks with its endpoint.
+struct endpoint_interface {
+  /// Reads an announcement or a departure; or gives the response to what is
+  /// neither.
+  std::function<std::variant<leased_endpoint, endpoint_departure,
+                             http_response>(const http_request&)>
+      decode;
+  std::function<http_response()> acknowledge;
+  /// The orders, see run_controller::hooks.
+  decltype(run_controller::hooks::start) start;
+  decltype(run_controller::hooks::stop) stop;
+  decltype(run_controller::hooks::renew) renew;
+};
+
+/// An agent for endpoints under leases: wires the endpoint's announcements and
+/// orders, and the entries' links, to one run controller for each endpoint.
+class run_agent {
+ public:
+  /// Period in which all states are repeated to all entries, which also carries
+  /// the agent's clock.
+  static constexpr milliseconds kAnnouncePeriod{150};
+  /// Time in which changes of a state are collected.
+  static constexpr milliseconds kCollectPeriod{2};
+
+  run_agent(event_loop& loop, const clock_interface& clock,
+            run_agent_settings settings, endpoint_interface adapter);
+  run_agent(const run_agent&) = delete;
+  run_agent& operator=(const run_agent&) = delete;
+
+  /// Binds the ports.
+  /// @returns nothing, or why it cannot start
+  std::optional<std::string> Start();
+  /// Accepts no more starts, waits for the runs in progress, then calls back.
+  void Drain(std::function<void()> on_drained);
+  void SetControl(std::vector<socket_address> control);
+
+  decision_log& Log() { return log_; }
+
+ private:
+  control_client::hooks ClientHooks();
+  heartbeat_message Heartbeat() const;
+  run_controller::hooks RunHooks();
+  void OnRequest(const http_request& request,
+                 const http_server::responder& respond);
+  void OnMessage(link_id link, const entry_run_message& message);
+  void OnClosed(link_id link);
+  void OnEntries(const std::vector<entry_address>& entries);
+  void ScheduleStates();
+  void SendStates();
+  void SendStatesTo(link_id link);
+  void Tick();
+
+  event_loop& loop_;
+  const clock_interface& clock_;
+  run_agent_settings settings_;
+  endpoint_interface adapter_;
+  incarnation_id incarnation_;
+  metrics_registry metrics_;
+  decision_log log_;
+  run_agent_links links_;
+  std::map<endpoint_id, std::unique_ptr<run_controller>> endpoints_;
+  std::map<link_id, std::uint64_t> orders_seen_;
+  http_server http_;
+  http_server metrics_http_;
+  control_client_link control_;
+  event_handle tick_timer_;
+  event_handle announce_timer_;
+  event_handle state_timer_;
+  std::optional<steady_time> drain_start_;
+  std::function<void()> on_drained_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_PROCESSES_RUN_AGENT_H_
