Keep few connections to an endpoint, and test the parts for jobs by room

Change: http_pool carries requests over two connections, and does not count those that have stalled.

--- a/src/libalmond/net/http_pool.cc
+++ b/src/libalmond/net/http_pool.cc
@@ -18,6 +18,7 @@
   http_pool* pool = nullptr;
   evhttp_connection* connection = nullptr;
   http_call_hook on_end;
+  steady_time begun;
   bool failed = false;
 
   static void OnError(evhttp_request_error /*error*/, void* argument) {
@@ -38,8 +39,9 @@
   }
 };
 
-http_pool::http_pool(event_loop& loop, socket_address address)
-    : loop_(loop), address_(std::move(address)) {}
+http_pool::http_pool(event_loop& loop, const clock_interface& clock,
+                     socket_address address)
+    : loop_(loop), clock_(clock), address_(std::move(address)) {}
 
 http_pool::~http_pool() {
   *alive_ = false;
@@ -55,18 +57,44 @@
 
 void http_pool::Send(const http_request& request, milliseconds timeout,
                      http_call_hook on_end) {
+  queue_.push_back({request, timeout, std::move(on_end)});
+  SendQueued();
+}
+
+std::size_t http_pool::Busy() const {
+  const steady_time now = clock_.SteadyNow();
+  return static_cast<std::size_t>(std::count_if(
+      calls_.begin(), calls_.end(),
+      [now](const auto& open) { return now - open->begun < kStallTime; }));
+}
+
+void http_pool::SendQueued() {
+  while (!queue_.empty() && Busy() < kMaxBusy) {
+    const queued_request next = std::move(queue_.front());
+    queue_.pop_front();
+    Begin(next);
+  }
+  if (queue_.empty() || stall_timer_.Active()) return;
+  stall_timer_ = loop_.After(kStallTime, [this] {
+    stall_timer_.Reset();
+    SendQueued();
+  });
+}
+
+void http_pool::Begin(const queued_request& next) {
   evhttp_connection* connection = TakeConnection();
-  const timeval limit = {timeout.count() / 1000, timeout.count() % 1000 * 1000};
+  const timeval limit = {next.timeout.count() / 1000,
+                         next.timeout.count() % 1000 * 1000};
   evhttp_connection_set_timeout_tv(connection, &limit);
-  calls_.push_back(
-      std::make_unique<call>(call{this, connection, std::move(on_end)}));
+  calls_.push_back(std::make_unique<call>(
+      call{this, connection, next.on_end, clock_.SteadyNow()}));
   call* started = calls_.back().get();
   evhttp_request* message = evhttp_request_new(&call::OnDone, started);
   evhttp_request_set_error_cb(message, &call::OnError);
-  FillRequest(message, address_, request, "keep-alive");
+  FillRequest(message, address_, next.request, "keep-alive");
   // On failure evhttp has freed the request; nothing was written.
-  if (evhttp_make_request(connection, message, HttpCommand(request.method),
-                          RequestTarget(request).c_str()) != 0) {
+  if (evhttp_make_request(connection, message, HttpCommand(next.request.method),
+                          RequestTarget(next.request).c_str()) != 0) {
     Finish(started, false, {http_call_outcome::not_sent, {}});
   }
 }
@@ -101,6 +129,8 @@
                } else {
                  evhttp_connection_free(connection);
                }
+               if (!*alive) return;
+               SendQueued();
                if (*alive) hook(result);
              });
 }
--- a/src/libalmond/net/http_pool.h
+++ b/src/libalmond/net/http_pool.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_NET_HTTP_POOL_H_
 #define ALMOND_NET_HTTP_POOL_H_
 
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -17,9 +18,20 @@
 /// Sends requests to one server over connections that it keeps open. For
 /// servers at which a request may be sent twice: a request that meets a
 /// connection that the server has just closed ends as `lost`.
+///
+/// Few connections carry a burst of requests one after the other, since each
+/// new one costs the server more than the wait. Requests on connections that
+/// have stalled do not hold others up.
 class http_pool {
  public:
-  http_pool(event_loop& loop, socket_address address);
+  /// Requests in progress at which others wait for a connection.
+  static constexpr std::size_t kMaxBusy = 2;
+  /// A request in progress for so long has stalled and is not counted.
+  static constexpr milliseconds kStallTime{20};
+
+  /// @param clock source of time; outlives the pool
+  http_pool(event_loop& loop, const clock_interface& clock,
+            socket_address address);
   ~http_pool();
   http_pool(const http_pool&) = delete;
   http_pool& operator=(const http_pool&) = delete;
@@ -36,14 +48,25 @@
 
  private:
   struct call;
+  struct queued_request {
+    http_request request;
+    milliseconds timeout{0};
+    http_call_hook on_end;
+  };
 
+  std::size_t Busy() const;
+  void SendQueued();
+  void Begin(const queued_request& next);
   evhttp_connection* TakeConnection();
   void Finish(call* ended, bool reusable, http_call_result result);
 
   event_loop& loop_;
+  const clock_interface& clock_;
   socket_address address_;
   std::vector<evhttp_connection*> idle_;
   std::vector<std::unique_ptr<call>> calls_;
+  std::deque<queued_request> queue_;
+  event_handle stall_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/tests/agent_runs/fake_endpoint.h
@@ -0,0 +1,114 @@
+#ifndef ALMOND_TESTS_AGENT_RUNS_FAKE_ENDPOINT_H_
+#define ALMOND_TESTS_AGENT_RUNS_FAKE_ENDPOINT_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libalmond/controllers/agent/run_controller.h"
+
+namespace almond {
+
+/// An endpoint under a lease in memory. Orders wait until the test answers
+/// them, so that it can lose, delay or reorder them.
+class fake_endpoint {
+ public:
+  struct start_order {
+    run_start start;
+    std::uint64_t fence = 0;
+    std::function<void(start_reply)> reply;
+  };
+  struct stop_order {
+    run_key key;
+    std::uint64_t fence = 0;
+    std::function<void(bool)> reply;
+  };
+  struct renew_order {
+    lease_renewal renewal;
+    std::function<void(const std::optional<lease_reply>&)> reply;
+  };
+
+  std::deque<start_order> starts;
+  std::deque<stop_order> stops;
+  std::deque<renew_order> renewals;
+  std::uint64_t life = 1;
+  std::set<run_key> running;
+  std::vector<listed_end> ended;
+
+  void AddHooks(run_controller::hooks& hooks) {
+    hooks.start = [this](const leased_endpoint&, const run_start& start,
+                         std::uint64_t fence, milliseconds,
+                         std::function<void(start_reply)> reply) {
+      starts.push_back({start, fence, std::move(reply)});
+    };
+    hooks.stop = [this](const leased_endpoint&, const run_key& key,
+                        std::uint64_t fence, std::function<void(bool)> reply) {
+      stops.push_back({key, fence, std::move(reply)});
+    };
+    hooks.renew =
+        [this](const leased_endpoint&, const lease_renewal& renewal,
+               std::function<void(const std::optional<lease_reply>&)> reply) {
+          renewals.push_back({renewal, std::move(reply)});
+        };
+  }
+
+  /// Carries out and answers the oldest start.
+  void TakeStart(start_reply reply = start_reply::started) {
+    const start_order order = std::move(starts.front());
+    starts.pop_front();
+    if (reply == start_reply::started) running.insert(order.start.key);
+    order.reply(reply);
+  }
+  void TakeStop(bool acknowledged = true) {
+    const stop_order order = std::move(stops.front());
+    stops.pop_front();
+    if (acknowledged && running.erase(order.key) > 0) {
+      AddEnd(order.key, run_end_kind::stopped);
+    }
+    order.reply(acknowledged);
+  }
+  void AnswerRenewal() {
+    const renew_order order = std::move(renewals.front());
+    renewals.pop_front();
+    lease_reply reply;
+    reply.life = life;
+    for (const run_key& key : running) reply.running.push_back({key});
+    for (const listed_end& end : ended) {
+      if (end.number > order.renewal.acknowledged) reply.ended.push_back(end);
+    }
+    order.reply(reply);
+  }
+  void RefuseRenewalAsFenced() {
+    const renew_order order = std::move(renewals.front());
+    renewals.pop_front();
+    lease_reply reply;
+    reply.fenced = true;
+    reply.life = life;
+    order.reply(reply);
+  }
+  void LoseRenewal() {
+    const renew_order order = std::move(renewals.front());
+    renewals.pop_front();
+    order.reply(std::nullopt);
+  }
+  void EndRun(const run_key& key, run_end_kind kind) {
+    running.erase(key);
+    AddEnd(key, kind);
+  }
+
+ private:
+  void AddEnd(const run_key& key, run_end_kind kind) {
+    ended.push_back({++last_end_, key, kind});
+  }
+
+  std::uint64_t last_end_ = 0;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_TESTS_AGENT_RUNS_FAKE_ENDPOINT_H_
--- /dev/null
+++ b/tests/agent_runs/run_controller_test.cc
@@ -0,0 +1,252 @@
+#include "libalmond/controllers/agent/run_controller.h"
+
+#include <catch2/catch.hpp>
+
+#include "agent_runs/fake_endpoint.h"
+
+namespace almond {
+namespace {
+
+const link_id kEntry(1);
+const link_id kOtherEntry(2);
+constexpr std::uint64_t kFirstFence = 1000;
+
+class run_controller_fixture {
+ protected:
+  run_controller_fixture()
+      : log_(clock_, metrics_, "agent",
+             [](const char*, std::size_t size) { return size; }),
+        controller_(clock_, log_, metrics_, kFirstFence, Hooks()) {
+    controller_.Announce(Announcement());
+    endpoint_.AnswerRenewal();
+  }
+
+  run_controller::hooks Hooks() {
+    run_controller::hooks hooks;
+    endpoint_.AddHooks(hooks);
+    hooks.on_end = [this](link_id link, const run_end& end) {
+      ends_.emplace_back(link, end);
+    };
+    return hooks;
+  }
+  leased_endpoint Announcement(std::uint64_t life = 1) {
+    leased_endpoint announced;
+    announced.id = endpoint_id("e");
+    announced.service = service_id("s");
+    announced.address = "127.0.0.1:1";
+    announced.life = life;
+    announced.number = ++number_;
+    announced.total = {4000, 1000, 0};
+    return announced;
+  }
+  run_start Order(std::uint32_t index, std::int64_t cpu_milli = 1000) {
+    run_start start;
+    start.endpoint = endpoint_id("e");
+    start.key = {job_id("j"), 0, 0, index, 1};
+    start.service = service_id("s");
+    start.needed = {cpu_milli, 10, 0};
+    start.heard = controller_.State().stamp;
+    return start;
+  }
+  /// Lets time pass in ticks, with or without answers to renewals.
+  void Pass(duration time, bool answer = true) {
+    for (duration passed{}; passed < time;
+         passed += run_controller::kTickPeriod) {
+      clock_.Advance(run_controller::kTickPeriod);
+      if (answer && !endpoint_.renewals.empty()) endpoint_.AnswerRenewal();
+      controller_.Tick();
+    }
+  }
+  std::int64_t UnusedCpu() const {
+    return controller_.State().unused.cpu_milli;
+  }
+
+  manual_clock clock_;
+  metrics_registry metrics_;
+  decision_log log_;
+  fake_endpoint endpoint_;
+  std::vector<std::pair<link_id, run_end>> ends_;
+  std::uint64_t number_ = 0;
+  run_controller controller_;
+};
+
+// Guards against starts over the room of an endpoint that takes what it gets.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / no room left / start refused as not run") {
+  controller_.Start(kEntry, Order(0, 3000));
+  controller_.Start(kOtherEntry, Order(1, 2000));
+  CHECK(endpoint_.starts.size() == 1);
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].first == kOtherEntry);
+  CHECK(ends_[0].second.kind == run_end_kind::not_run);
+  CHECK(UnusedCpu() == 1000);
+}
+
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / end listed / room free and entry told") {
+  controller_.Start(kEntry, Order(0, 3000));
+  endpoint_.TakeStart();
+  clock_.Advance(milliseconds(50));
+  endpoint_.EndRun(Order(0).key, run_end_kind::done);
+  endpoint_.AnswerRenewal();
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::done);
+  CHECK(ends_[0].second.ran == milliseconds(50));
+  CHECK(UnusedCpu() == 4000);
+  CHECK(endpoint_.renewals.back().renewal.acknowledged == 1);
+}
+
+// Guards against two runs of a task: an order without an answer may be carried
+// out seconds later.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / start unanswered / room kept until the run "
+                 "can never begin") {
+  controller_.Start(kEntry, Order(0, 3000));
+  endpoint_.starts.front().reply(start_reply::unanswered);
+  REQUIRE(endpoint_.stops.size() == 1);
+  CHECK(ends_.empty());
+  CHECK(UnusedCpu() == 1000);
+  SECTION("stop unanswered, so it is sent again") {
+    endpoint_.TakeStop(false);
+    Pass(run_controller::kStopRetry);
+    REQUIRE(endpoint_.stops.size() == 1);
+    CHECK(ends_.empty());
+  }
+  SECTION("stop acknowledged, lists from before do not count") {
+    endpoint_.TakeStop();
+    endpoint_.AnswerRenewal();
+    CHECK(ends_.empty());
+    clock_.Advance(milliseconds(1));
+    endpoint_.LoseRenewal();
+    controller_.Tick();
+    endpoint_.AnswerRenewal();
+    REQUIRE(ends_.size() == 1);
+    CHECK(ends_[0].second.kind == run_end_kind::stopped);
+    CHECK(UnusedCpu() == 4000);
+  }
+  SECTION("carried out after all, so its end is awaited") {
+    endpoint_.running.insert(Order(0).key);
+    endpoint_.AnswerRenewal();
+    CHECK(ends_.empty());
+    endpoint_.TakeStop();
+    endpoint_.AnswerRenewal();
+    REQUIRE(ends_.size() == 1);
+    CHECK(ends_[0].second.kind == run_end_kind::stopped);
+  }
+}
+
+// Guards against two runs of a job that its caller has sent again elsewhere.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / entry's link ends / only its runs stopped") {
+  controller_.Start(kEntry, Order(0));
+  controller_.Start(kOtherEntry, Order(1));
+  endpoint_.TakeStart();
+  endpoint_.TakeStart();
+  controller_.LinkClosed(kEntry);
+  REQUIRE(endpoint_.stops.size() == 1);
+  CHECK(endpoint_.stops.front().key == Order(0).key);
+}
+
+// Guards against an agent that wakes up and carries out orders that their
+// entry has long placed elsewhere.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / order older than the limit / refused") {
+  const run_start old = Order(0);
+  Pass(run_controller::kMaxOrderAge + milliseconds(20));
+  controller_.Start(kEntry, old);
+  CHECK(endpoint_.starts.empty());
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::not_run);
+}
+
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / endpoint draining / starts refused") {
+  leased_endpoint draining = Announcement();
+  draining.leaving = true;
+  controller_.Announce(draining);
+  controller_.Start(kEntry, Order(0));
+  CHECK(endpoint_.starts.empty());
+  CHECK_FALSE(controller_.State().accepting);
+}
+
+// Guards against a late announcement of a life that has ended.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / announcement of an older life / ignored") {
+  controller_.Announce(Announcement(3));
+  endpoint_.life = 3;
+  endpoint_.AnswerRenewal();
+  endpoint_.AnswerRenewal();
+  controller_.Start(kEntry, Order(0));
+  leased_endpoint older = Announcement(2);
+  older.leaving = true;
+  controller_.Announce(older);
+  CHECK(controller_.State().accepting);
+  CHECK(ends_.empty());
+}
+
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / new life / runs lost at once") {
+  controller_.Start(kEntry, Order(0));
+  endpoint_.TakeStart();
+  controller_.Announce(Announcement(2));
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::lost);
+  CHECK_FALSE(controller_.State().accepting);
+}
+
+// Guards against room given out twice while a silent endpoint still works.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / silence / lease not extended and runs lost "
+                 "only after it") {
+  controller_.Start(kEntry, Order(0));
+  endpoint_.TakeStart();
+  Pass(milliseconds(700), false);
+  CHECK(ends_.empty());
+  CHECK_FALSE(controller_.State().accepting);
+  Pass(milliseconds(100), false);
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::lost);
+  const std::uint64_t fence = kFirstFence + 1;
+  endpoint_.LoseRenewal();
+  controller_.Tick();
+  CHECK(endpoint_.renewals.back().renewal.fence == fence);
+}
+
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / token refused / raised before any start") {
+  endpoint_.RefuseRenewalAsFenced();
+  controller_.Start(kEntry, Order(0));
+  CHECK(endpoint_.starts.empty());
+  controller_.Tick();
+  CHECK(endpoint_.renewals.back().renewal.fence ==
+        kFirstFence + run_controller::kFenceStep);
+  endpoint_.AnswerRenewal();
+  controller_.Start(kEntry, Order(1));
+  CHECK(endpoint_.starts.size() == 1);
+}
+
+// Guards against room given out while runs of an earlier agent go on.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / runs of an earlier life listed / stopped "
+                 "before any start") {
+  const run_key foreign{job_id("k"), 0, 0, 7, 3};
+  endpoint_.running.insert(foreign);
+  endpoint_.AnswerRenewal();
+  CHECK_FALSE(controller_.State().accepting);
+  REQUIRE(endpoint_.stops.size() == 1);
+  CHECK(endpoint_.stops.front().key == foreign);
+  endpoint_.TakeStop();
+  endpoint_.AnswerRenewal();
+  endpoint_.AnswerRenewal();
+  CHECK(controller_.State().accepting);
+}
+
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / stop of an unknown run / answered") {
+  controller_.Stop(kEntry, Order(5).key);
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::stopped);
+}
+
+}  // namespace
+}  // namespace almond
--- /dev/null
+++ b/tests/entry_jobs/endpoint_pool_test.cc
@@ -0,0 +1,146 @@
+#include "libalmond/controllers/entry/endpoint_pool.h"
+
+#include <catch2/catch.hpp>
+
+namespace almond {
+namespace {
+
+const link_id kLink(1);
+
+class endpoint_pool_fixture {
+ protected:
+  endpoint_pool_fixture() : pool_(clock_, random_, data_centre_id("a")) {}
+
+  void Announce(const std::string& name, std::int64_t unused = 10000,
+                std::uint64_t seen = 0) {
+    endpoint_state state;
+    state.endpoint = endpoint_id(name);
+    state.service = service_id("s");
+    state.data_centre = data_centre_id("a");
+    state.total = {16000, 1000, 0};
+    state.unused = {unused, 1000, 0};
+    state.accepting = true;
+    state.orders_seen = seen;
+    pool_.Update(kLink, state);
+  }
+  std::optional<endpoint_key> Choose(std::int64_t cpu = 1000,
+                                     std::vector<endpoint_id> failed = {}) {
+    return pool_.Choose(
+        {service_id("s"), {cpu, 1, 0}, milliseconds(100), std::move(failed)});
+  }
+  /// Runs one task at an endpoint.
+  void Run(const std::string& name, run_end_kind kind, milliseconds ran) {
+    const run_key key{job_id("j"), 0, 0, ++index_, 1};
+    const endpoint_key place{kLink, endpoint_id(name)};
+    pool_.Place(place, key, {}, milliseconds(100));
+    pool_.Ended(place, {endpoint_id(name), key, kind, ran});
+  }
+  std::size_t ChosenOf(const std::string& name, int tries) {
+    std::size_t chosen = 0;
+    for (int i = 0; i < tries; ++i) {
+      const auto place = Choose();
+      if (place && place->endpoint.Value() == name) ++chosen;
+    }
+    return chosen;
+  }
+
+  manual_clock clock_;
+  std::mt19937_64 random_{7};
+  endpoint_pool pool_;
+  std::uint32_t index_ = 0;
+};
+
+// Guards against two orders for the same room between two announcements.
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / order not covered by the state / room "
+                 "counted as taken") {
+  Announce("e", 1500);
+  const auto place = Choose();
+  REQUIRE(place);
+  const auto [order, stamp] = pool_.Place(*place, {job_id("j"), 0, 0, 0, 1},
+                                          {1000, 1, 0}, milliseconds(100));
+  CHECK_FALSE(Choose());
+  Announce("e", 1500, order - 1);
+  CHECK_FALSE(Choose());
+  Announce("e", 1500, order);
+  CHECK(Choose());
+}
+
+// The load: short parallel jobs on endpoints of which one is slow.
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / one endpoint four times slower / others "
+                 "preferred") {
+  for (const char* name : {"a", "b", "slow"}) Announce(name);
+  for (int i = 0; i < 20; ++i) {
+    Run("a", run_end_kind::done, milliseconds(100));
+    Run("b", run_end_kind::done, milliseconds(100));
+    Run("slow", run_end_kind::done, milliseconds(400));
+  }
+  CHECK(ChosenOf("slow", 100) == 0);
+  Announce("a", 0);
+  Announce("b", 0);
+  CHECK(ChosenOf("slow", 1) == 1);
+}
+
+// The load: an endpoint that fails at once always has room, and would get
+// most of the work.
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / one endpoint fails all / only probed") {
+  for (const char* name : {"a", "b", "bad"}) Announce(name);
+  for (int i = 0; i < 5; ++i) Run("bad", run_end_kind::failed, milliseconds(1));
+  Announce("a", 0);
+  Announce("b", 0);
+  const auto probe = Choose();
+  REQUIRE(probe);
+  pool_.Place(*probe, {job_id("p"), 0, 0, 0, 1}, {}, milliseconds(100));
+  CHECK_FALSE(Choose());
+  clock_.Advance(endpoint_pool::kProbePeriod);
+  CHECK(Choose());
+}
+
+// The load: a bad kind of work fails everywhere.
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / most endpoints look bad / none avoided") {
+  for (const char* name : {"a", "b", "c"}) {
+    Announce(name);
+    for (int i = 0; i < 5; ++i)
+      Run(name, run_end_kind::failed, milliseconds(1));
+  }
+  CHECK(ChosenOf("a", 100) > 0);
+  CHECK(ChosenOf("b", 100) > 0);
+}
+
+// The load: tasks on one endpoint stand still.
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / runs overdue at one endpoint / avoided") {
+  for (const char* name : {"a", "b", "stuck"}) Announce(name);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    pool_.Place({kLink, endpoint_id("stuck")}, {job_id("s"), 0, 0, i, 1}, {},
+                milliseconds(100));
+  }
+  clock_.Advance(milliseconds(300));
+  CHECK(ChosenOf("stuck", 100) == 0);
+}
+
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / task failed at an endpoint / another one "
+                 "while there is one") {
+  Announce("a");
+  Announce("b");
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Choose(1000, {endpoint_id("a")})->endpoint == endpoint_id("b"));
+  }
+  Announce("b", 0);
+  CHECK(Choose(1000, {endpoint_id("a")})->endpoint == endpoint_id("a"));
+}
+
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / link ended / its endpoints are gone") {
+  Announce("a");
+  pool_.RemoveLink(kLink);
+  CHECK_FALSE(Choose());
+  CHECK_FALSE(pool_.Serves(service_id("s")));
+}
+
+}  // namespace
+}  // namespace almond
--- /dev/null
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -0,0 +1,259 @@
+#include "libalmond/controllers/entry/parallel_job_controller.h"
+
+#include <catch2/catch.hpp>
+
+namespace almond {
+namespace {
+
+const link_id kLink(1);
+const link_id kOtherLink(2);
+
+class parallel_job_fixture {
+ protected:
+  parallel_job_fixture()
+      : log_(clock_, metrics_, "entry",
+             [this](const char* bytes, std::size_t size) {
+               lines_.append(bytes, size);
+               return size;
+             }),
+        pool_(clock_, random_, data_centre_id("a")),
+        jobs_(clock_, log_, metrics_, pool_,
+              {[this](link_id link, const entry_run_message& message) {
+                if (const auto* start = std::get_if<run_start>(&message)) {
+                  starts_.emplace_back(link, *start);
+                } else {
+                  stops_.emplace_back(link, std::get<run_stop>(message));
+                }
+              }}) {
+    rule_.name = "r";
+    rule_.service = service_id("s");
+    rule_.attempts = 2;
+    rule_.stretch = 1.6;
+    rule_.slack = milliseconds(60);
+  }
+
+  void Announce(link_id link, const std::string& name,
+                std::int64_t unused = 16000) {
+    endpoint_state state;
+    state.endpoint = endpoint_id(name);
+    state.service = service_id("s");
+    state.data_centre = data_centre_id("a");
+    state.total = {16000, 1000, 0};
+    state.unused = {unused, 1000, 0};
+    state.accepting = true;
+    state.orders_seen = starts_.size();
+    jobs_.OnEndpointState(link, state);
+  }
+  caller_id Submit(std::uint32_t count = 1, std::int64_t cpu = 1000,
+                   milliseconds timeout = milliseconds(1500),
+                   const std::string& id = "j") {
+    job_request request;
+    request.id = job_id(id);
+    request.timeout = timeout;
+    request.steps = {{count, {cpu, 1, 0}, milliseconds(100), {}}};
+    return jobs_.Submit(rule_, request, [this](const job_answer& answer) {
+      answers_.push_back(answer);
+    });
+  }
+  void End(std::size_t start, run_end_kind kind) {
+    const auto& [link, order] = starts_.at(start);
+    jobs_.OnRunEnd(link, {order.endpoint, order.key, kind, milliseconds(100)});
+  }
+  void Pass(duration time) {
+    for (duration passed{}; passed < time;
+         passed += parallel_job_controller::kTickPeriod) {
+      clock_.Advance(parallel_job_controller::kTickPeriod);
+      jobs_.Tick();
+    }
+  }
+
+  manual_clock clock_;
+  std::mt19937_64 random_{3};
+  metrics_registry metrics_;
+  std::string lines_;
+  decision_log log_;
+  endpoint_pool pool_;
+  std::vector<std::pair<link_id, run_start>> starts_;
+  std::vector<std::pair<link_id, run_stop>> stops_;
+  std::vector<job_answer> answers_;
+  route rule_;
+  parallel_job_controller jobs_;
+};
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / all tasks done / answered complete") {
+  Announce(kLink, "e");
+  Submit(3);
+  REQUIRE(starts_.size() == 3);
+  End(0, run_end_kind::done);
+  End(1, run_end_kind::done);
+  CHECK(answers_.empty());
+  End(2, run_end_kind::done);
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].outcome == job_outcome::complete);
+  CHECK(jobs_.Jobs() == 0);
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / task fails as often as allowed / answered "
+                 "failed and the rest stopped") {
+  Announce(kLink, "e");
+  Submit(2);
+  End(0, run_end_kind::failed);
+  REQUIRE(starts_.size() == 3);
+  CHECK(starts_[2].second.key.run == 2);
+  CHECK(answers_.empty());
+  End(2, run_end_kind::failed);
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].outcome == job_outcome::failed);
+  REQUIRE(stops_.size() == 1);
+  CHECK(stops_[0].second.key == starts_[1].second.key);
+}
+
+// A run that its endpoint lost is no fault of the task.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / runs lost many times / run again") {
+  Announce(kLink, "e");
+  Submit();
+  for (std::size_t i = 0; i < 5; ++i) End(i, run_end_kind::lost);
+  CHECK(starts_.size() == 6);
+  CHECK(answers_.empty());
+}
+
+// Guards against two runs of a task: the agent behind a link that has ended
+// may still be at work.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / agent's link ends / run again only after the "
+                 "doubt") {
+  Announce(kLink, "e");
+  Submit();
+  Announce(kOtherLink, "f");
+  jobs_.OnLinkClosed(kLink);
+  Pass(parallel_job_controller::kDoubtPeriod - milliseconds(40));
+  CHECK(starts_.size() == 1);
+  Pass(milliseconds(60));
+  REQUIRE(starts_.size() == 2);
+  CHECK(starts_[1].first == kOtherLink);
+  CHECK(starts_[1].second.key.run == 2);
+}
+
+// Guards against work for callers that are gone, and against two runs when
+// they send the job again.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / caller leaves / runs stopped, no answer") {
+  Announce(kLink, "e");
+  const caller_id caller = Submit(2);
+  jobs_.Leave(job_id("j"), caller);
+  CHECK(stops_.size() == 2);
+  CHECK(answers_.empty());
+  CHECK(jobs_.Jobs() == 0);
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / sent again while in progress / one job, two "
+                 "answers") {
+  Announce(kLink, "e");
+  const caller_id first = Submit();
+  Submit();
+  CHECK(starts_.size() == 1);
+  jobs_.Leave(job_id("j"), first);
+  CHECK(stops_.empty());
+  End(0, run_end_kind::done);
+  CHECK(answers_.size() == 1);
+}
+
+// Guards against a job that one endpoint refuses for ever.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / run known from another try / higher number") {
+  Announce(kLink, "e");
+  Submit();
+  End(0, run_end_kind::superseded);
+  REQUIRE(starts_.size() == 2);
+  CHECK(starts_[1].second.key.run > parallel_job_controller::kRunStep);
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / no room until it is too late / refused with "
+                 "not run while the caller can act") {
+  Announce(kLink, "e", 0);
+  Submit(1, 1000, milliseconds(500));
+  Pass(milliseconds(380));
+  CHECK(answers_.empty());
+  Pass(milliseconds(60));
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].outcome == job_outcome::overloaded);
+  CHECK(starts_.empty());
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / begun and past its deadline / timed out and "
+                 "stopped") {
+  Announce(kLink, "e");
+  Submit(1, 1000, milliseconds(500));
+  Pass(milliseconds(520));
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].outcome == job_outcome::timed_out);
+  CHECK(stops_.size() == 1);
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / larger than any endpoint / refused at once") {
+  Announce(kLink, "e");
+  Submit(1, 17000);
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].outcome == job_outcome::unavailable);
+  CHECK(answers_[0].reason == refusal_reason::exceeds_capacity);
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / no endpoint known / refused at once") {
+  Submit();
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].reason == refusal_reason::no_endpoint);
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / step after another / starts when that ends") {
+  Announce(kLink, "e");
+  job_request request;
+  request.id = job_id("j");
+  request.timeout = milliseconds(1500);
+  request.steps = {{1, {1000, 1, 0}, milliseconds(100), {}},
+                   {2, {1000, 1, 0}, milliseconds(100), {0}}};
+  jobs_.Submit(rule_, request, [this](const job_answer& answer) {
+    answers_.push_back(answer);
+  });
+  CHECK(starts_.size() == 1);
+  End(0, run_end_kind::done);
+  CHECK(starts_.size() == 3);
+  End(1, run_end_kind::done);
+  End(2, run_end_kind::done);
+  CHECK(answers_.size() == 1);
+}
+
+// Guards against an end of an earlier run that is taken for the present one.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / end of an earlier run / ignored") {
+  Announce(kLink, "e");
+  Submit();
+  End(0, run_end_kind::lost);
+  End(0, run_end_kind::done);
+  CHECK(answers_.empty());
+  End(1, run_end_kind::done);
+  CHECK(answers_.size() == 1);
+}
+
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / accepted, placed, answered / one line each "
+                 "with the id") {
+  Announce(kLink, "e");
+  Submit();
+  End(0, run_end_kind::done);
+  for (const char* event : {"job_accepted", "run_placed", "job_answered"}) {
+    CHECK(lines_.find(event) != std::string::npos);
+  }
+  CHECK(lines_.find("\"job\":\"j\"") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace almond
--- /dev/null
+++ b/tests/entry_jobs/run_queue_test.cc
@@ -0,0 +1,64 @@
+#include "libalmond/controllers/entry/run_queue.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace almond {
+namespace {
+
+class run_queue_fixture {
+ protected:
+  void Add(const std::string& name, int latest_start, bool begun = false) {
+    queue_.Add({job_id(name), 0, 0}, At(latest_start), begun);
+  }
+  static steady_time At(int time) { return steady_time(milliseconds(time)); }
+  /// @returns the names in the order in which they are offered
+  std::string Order(int now) {
+    std::string order;
+    queue_.Offer(At(now), [&order](const waiting_task& task) {
+      order += task.job.Value();
+      return false;
+    });
+    return order;
+  }
+
+  run_queue queue_;
+};
+
+// The load: a driver's short request behind long work.
+TEST_CASE_METHOD(run_queue_fixture,
+                 "run queue / short after long / short first") {
+  Add("l", 800);
+  Add("s", 60);
+  CHECK(Order(0) == "sl");
+}
+
+// The load: more work than room for a while, so that some objectives are lost.
+TEST_CASE_METHOD(run_queue_fixture,
+                 "run queue / objective out of reach / after what can meet "
+                 "its own") {
+  Add("a", 50);
+  Add("b", 150);
+  CHECK(Order(100) == "ba");
+}
+
+TEST_CASE_METHOD(run_queue_fixture,
+                 "run queue / job begun / before fresh ones") {
+  Add("f", 150);
+  Add("b", 50, true);
+  CHECK(Order(100) == "bf");
+}
+
+TEST_CASE_METHOD(run_queue_fixture,
+                 "run queue / task taken / no longer offered") {
+  Add("a", 50);
+  Add("b", 60);
+  queue_.Offer(
+      At(0), [](const waiting_task& task) { return task.job == job_id("a"); });
+  CHECK(Order(0) == "b");
+  queue_.Remove({job_id("b"), 0, 0}, At(60), false);
+  CHECK(queue_.size() == 0);
+}
+
+}  // namespace
+}  // namespace almond
