Do not stop a run that has failed, nor lose an endpoint at its first announcement

Cause: new tests failed: the end of a failed job ordered a stop of the run that had just failed, and the first announcement counted as the loss of a life. Change: both left out; a renewal without any end is forgotten after 1 s.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -31,7 +31,7 @@
   const bool changed = newer_life || !present_ ||
                        announced.leaving != endpoint_.leaving ||
                        announced.total != endpoint_.total;
-  if (newer_life) {
+  if (newer_life && endpoint_.life != 0) {
     LoseAll("another life of the endpoint");
     acknowledged_ = 0;
   }
@@ -172,6 +172,8 @@
   if (established_ && silent && now - extended_ >= kAllEnded) {
     LoseAll("no answer for longer than the lease");
   }
+  // A renewal whose answer never comes back ends with its connection pool.
+  if (now - renewed_ >= kRenewalLost) renewal_in_flight_ = false;
   if (present_ && !renewal_in_flight_) Renew();
 }
 
@@ -185,6 +187,7 @@
     extended_ = now;
   }
   renewal_in_flight_ = true;
+  renewed_ = now;
   hooks_.renew(endpoint_, renewal,
                [this, now, life = lives_](const auto& reply) {
                  renewal_in_flight_ = false;
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -88,6 +88,8 @@
   /// entry may have given the link up.
   static constexpr milliseconds kMaxOrderAge{500};
   static constexpr milliseconds kTickPeriod{20};
+  /// A renewal that was not even answered as lost by now is forgotten.
+  static constexpr milliseconds kRenewalLost{1000};
   /// An unanswered stop is sent again after this time.
   static constexpr milliseconds kStopRetry{100};
   /// Step by which a fencing token is raised that an endpoint refused. The
@@ -180,6 +182,7 @@
   bool foreign_ = false;      ///< runs that this agent did not start are listed
   std::uint64_t acknowledged_ = 0;
   bool renewal_in_flight_ = false;
+  steady_time renewed_;   ///< when the last renewal was sent
   steady_time answered_;  ///< when the last answered renewal was sent
   steady_time extended_;  ///< when the lease was last extended
   room used_;
--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -394,6 +394,7 @@
     return;
   }
   failed_.Add();
+  failed.phase = task_phase::done;
   End(job_id(entry.request.id),
       {job_outcome::failed, refusal_reason::task_failed, std::nullopt});
 }
--- a/tests/entry_jobs/endpoint_pool_test.cc
+++ b/tests/entry_jobs/endpoint_pool_test.cc
@@ -90,6 +90,7 @@
   for (int i = 0; i < 5; ++i) Run("bad", run_end_kind::failed, milliseconds(1));
   Announce("a", 0);
   Announce("b", 0);
+  clock_.Advance(endpoint_pool::kProbePeriod);
   const auto probe = Choose();
   REQUIRE(probe);
   pool_.Place(*probe, {job_id("p"), 0, 0, 0, 1}, {}, milliseconds(100));
--- a/tests/entry_jobs/parallel_job_controller_test.cc
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -13,7 +13,7 @@
   parallel_job_fixture()
       : log_(clock_, metrics_, "entry",
              [this](const char* bytes, std::size_t size) {
-               lines_.append(bytes, size);
+               lines_ += std::string(bytes, size);
                return size;
              }),
         pool_(clock_, random_, data_centre_id("a")),
@@ -25,7 +25,7 @@
                   stops_.emplace_back(link, std::get<run_stop>(message));
                 }
               }}) {
-    rule_.name = "r";
+    rule_.name = std::string("r");
     rule_.service = service_id("s");
     rule_.attempts = 2;
     rule_.stretch = 1.6;
