--- a/tests/control/config_store_test.cc
+++ b/tests/control/config_store_test.cc
@@ -73,5 +73,43 @@
   CHECK(Apply(first).outcome == change_outcome::version_conflict);
 }
 
+// Guards against an older change that arrives again and takes effect, and
+// against other content under the version held.
+TEST_CASE_METHOD(config_store_fixture,
+                 "config store / numbered configurations / highest wins") {
+  const auto apply = [this](std::uint64_t version,
+                            const std::string& document) {
+    return store_
+        .Apply(clock_.WallNow(),
+               numbered_config{config_version(version), document, document})
+        .outcome;
+  };
+  CHECK(apply(4, "a") == change_outcome::accepted);
+  CHECK(apply(9, "b") == change_outcome::accepted);
+  CHECK(apply(9, "c") == change_outcome::not_newer);
+  CHECK(apply(7, "d") == change_outcome::not_newer);
+  CHECK(store_.Newest() == config_version(9));
+  CHECK(*store_.Document(config_version(9)) == "b");
+  CHECK(*store_.Document(config_version(4)) == "a");
+  CHECK(store_.Document(config_version(5)) == nullptr);
+}
+
+TEST_CASE_METHOD(config_store_fixture,
+                 "config store / numbered configurations saved / loaded") {
+  for (std::uint64_t version = 3; version < 300; version += 3) {
+    store_.Apply(clock_.WallNow(),
+                 numbered_config{config_version(version),
+                                 std::to_string(version), "digest"});
+  }
+  byte_writer writer;
+  store_.Save(writer);
+  const std::string bytes = writer.Take();
+  byte_reader reader(bytes);
+  config_store loaded;
+  REQUIRE(loaded.Load(reader));
+  CHECK(loaded.Newest() == config_version(297));
+  CHECK(*loaded.Document(config_version(297)) == "297");
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -147,5 +147,26 @@
   CHECK(client.Closed());
 }
 
+// Guards against work that goes on for callers that are gone.
+TEST_CASE_METHOD(http_server_fixture,
+                 "http server / client closes before the response / told") {
+  std::vector<std::uint64_t> abandoned;
+  server_->OnAbandoned([&](std::uint64_t number) {
+    abandoned.push_back(number);
+    loop_.Stop();
+  });
+  hold_ = true;
+  raw_connection client(loop_, server_->Address());
+  REQUIRE(client.Write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"));
+  loop_.Run();
+  REQUIRE(held_.size() == 1);
+  CHECK(abandoned.empty());
+  client.Close();
+  loop_.Run();
+  CHECK(abandoned == std::vector<std::uint64_t>{1});
+  held_[0]({200, {}, ""});
+  CHECK(server_->Pending() == 0);
+}
+
 }  // namespace
 }  // namespace almond
