Let orders wait at an agent while all its room is in use

Entries with queues raced for each piece of room, and the winner was the nearest, not the most urgent.

Change: orders for an eighth of an endpoint's processors wait at its agent for 60 ms at most, the most urgent first; entries use this only when no endpoint has room at once.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -55,20 +55,32 @@
 
 void run_controller::Start(link_id link, const run_start& start) {
   if (const char* cause = Refusal(start)) {
-    refused_.Add();
-    log_.Write(
-        "start_refused",
-        {{"job", start.key.job.Value()},
-         {"step", start.key.step},
-         {"index", start.key.index},
-         {"run", start.key.run},
-         {"endpoint", endpoint_.id.Value()},
-         {"cause", cause},
-         {"used_cpu_milli", used_.cpu_milli},
-         {"lease_age_ms", Milliseconds(clock_.SteadyNow() - answered_)}});
-    hooks_.on_end(link, {endpoint_.id, start.key, run_end_kind::not_run});
-    return;
+    Refuse(link, start, cause);
+  } else if (waiting_.empty() && Unused().Holds(start.needed)) {
+    Order(link, start);
+  } else {
+    Wait(link, start);
+    StartWaiting();
   }
+}
+
+void run_controller::Refuse(link_id link, const run_start& start,
+                            const char* cause) {
+  refused_.Add();
+  log_.Write("start_refused",
+             {{"job", start.key.job.Value()},
+              {"step", start.key.step},
+              {"index", start.key.index},
+              {"run", start.key.run},
+              {"endpoint", endpoint_.id.Value()},
+              {"cause", cause},
+              {"used_cpu_milli", used_.cpu_milli},
+              {"waiting_cpu_milli", waiting_cpu_milli_},
+              {"lease_age_ms", Milliseconds(clock_.SteadyNow() - answered_)}});
+  hooks_.on_end(link, {endpoint_.id, start.key, run_end_kind::not_run});
+}
+
+void run_controller::Order(link_id link, const run_start& start) {
   starts_.Add();
   used_ += start.needed;
   runs_[start.key] = {link, start.needed, phase::starting, clock_.SteadyNow()};
@@ -79,6 +91,48 @@
                });
 }
 
+void run_controller::Wait(link_id link, const run_start& start) {
+  waiting_.push_back({link, start, clock_.SteadyNow()});
+  waiting_cpu_milli_ += start.needed.cpu_milli;
+  std::stable_sort(waiting_.begin(), waiting_.end(),
+                   [](const waiting_order& left, const waiting_order& right) {
+                     return left.Rank() < right.Rank();
+                   });
+  // The least urgent ones go back if too many wait; one may wait in any case.
+  while (waiting_.size() > 1 &&
+         waiting_cpu_milli_ > WaitingCpu(endpoint_.total)) {
+    const waiting_order last = std::move(waiting_.back());
+    waiting_.pop_back();
+    waiting_cpu_milli_ -= last.start.needed.cpu_milli;
+    Refuse(last.link, last.start, "no room");
+  }
+  Changed();
+}
+
+void run_controller::StartWaiting() {
+  while (!waiting_.empty() && Accepting() &&
+         Unused().Holds(waiting_.front().start.needed)) {
+    const waiting_order next = std::move(waiting_.front());
+    waiting_.erase(waiting_.begin());
+    waiting_cpu_milli_ -= next.start.needed.cpu_milli;
+    Order(next.link, next.start);
+  }
+}
+
+void run_controller::RefuseWaiting(const char* cause) {
+  const std::vector<waiting_order> refused = std::exchange(waiting_, {});
+  waiting_cpu_milli_ = 0;
+  for (const waiting_order& order : refused) {
+    Refuse(order.link, order.start, cause);
+  }
+}
+
+room run_controller::Unused() const {
+  room unused = endpoint_.total;
+  unused -= used_;
+  return unused;
+}
+
 const char* run_controller::Refusal(const run_start& start) const {
   if (!Accepting()) return "not accepting";
   const auto now = static_cast<std::uint64_t>(
@@ -86,9 +140,11 @@
   if (start.heard.Value() + kMaxOrderAge.count() < now) return "old order";
   if (start.service != endpoint_.service) return "other service";
   if (runs_.contains(start.key)) return "known run";
-  room unused = endpoint_.total;
-  unused -= used_;
-  return unused.Holds(start.needed) ? nullptr : "no room";
+  const bool waits = std::any_of(
+      waiting_.begin(), waiting_.end(),
+      [&start](const auto& order) { return order.start.key == start.key; });
+  if (waits) return "known run";
+  return endpoint_.total.Holds(start.needed) ? nullptr : "too large";
 }
 
 void run_controller::OnStartReply(const run_key& key, start_reply reply) {
@@ -120,6 +176,12 @@
 }
 
 void run_controller::Stop(link_id link, const run_key& key) {
+  const auto removed = std::erase_if(waiting_, [&](const auto& order) {
+    if (order.start.key != key) return false;
+    waiting_cpu_milli_ -= order.start.needed.cpu_milli;
+    return true;
+  });
+  if (removed > 0) Changed();
   const auto found = runs_.find(key);
   if (found == runs_.end()) {
     hooks_.on_end(link, {endpoint_.id, key, run_end_kind::stopped});
@@ -129,6 +191,11 @@
 }
 
 void run_controller::LinkClosed(link_id link) {
+  std::erase_if(waiting_, [&](const auto& order) {
+    if (order.link != link) return false;
+    waiting_cpu_milli_ -= order.start.needed.cpu_milli;
+    return true;
+  });
   std::vector<run_key> keys;
   for (const auto& [key, run] : runs_) {
     if (run.link == link) keys.push_back(key);
@@ -172,6 +239,17 @@
   if (established_ && silent && now - extended_ >= kAllEnded) {
     LoseAll("no answer for longer than the lease");
   }
+  std::vector<waiting_order> late;
+  std::erase_if(waiting_, [&](const waiting_order& order) {
+    if (now - order.arrived < kMaxWait) return false;
+    waiting_cpu_milli_ -= order.start.needed.cpu_milli;
+    late.push_back(order);
+    return true;
+  });
+  for (const waiting_order& order : late) {
+    Refuse(order.link, order.start, "waited for room");
+  }
+  if (!late.empty()) Changed();
   // A renewal whose answer never comes back ends with its connection pool.
   if (now - renewed_ >= kRenewalLost) renewal_in_flight_ = false;
   if (present_ && !renewal_in_flight_) Renew();
@@ -219,6 +297,7 @@
   established_ = true;
   TakeEnds(*reply);
   TakeRunning(sent, *reply);
+  if (!Accepting()) RefuseWaiting("not accepting");
   if (accepted != Accepting()) Changed();
   Renew();
 }
@@ -281,6 +360,7 @@
   hooks_.on_end(run.link, {endpoint_.id, key, kind,
                            std::chrono::duration_cast<milliseconds>(
                                clock_.SteadyNow() - run.ordered)});
+  StartWaiting();
   Changed();
 }
 
@@ -297,6 +377,7 @@
   ++fence_;
   established_ = false;
   renewal_in_flight_ = false;
+  RefuseWaiting("endpoint lost");
   stopping_foreign_.clear();
   while (!runs_.empty()) End(run_key(runs_.begin()->first), run_end_kind::lost);
   Changed();
@@ -313,8 +394,8 @@
   state.service = endpoint_.service;
   state.data_centre = endpoint_.data_centre;
   state.total = endpoint_.total;
-  state.unused = endpoint_.total;
-  state.unused -= used_;
+  state.unused = Unused();
+  state.unused.cpu_milli -= waiting_cpu_milli_;
   state.accepting = Accepting();
   state.stamp = agent_stamp(static_cast<std::uint64_t>(
       Milliseconds(clock_.SteadyNow().time_since_epoch())));
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libalmond/core/clock.h"
@@ -90,6 +91,9 @@
   static constexpr milliseconds kTickPeriod{20};
   /// A renewal that was not even answered as lost by now is forgotten.
   static constexpr milliseconds kRenewalLost{1000};
+  /// An order that has waited for room so long goes back to its entry, which
+  /// may know a better place by then.
+  static constexpr milliseconds kMaxWait{60};
   /// An unanswered stop is sent again after this time.
   static constexpr milliseconds kStopRetry{100};
   /// Step by which a fencing token is raised that an endpoint refused. The
@@ -128,7 +132,7 @@
   void Announce(const leased_endpoint& announced);
   /// The endpoint has said that it is gone.
   void Gone();
-  /// Starts a run or answers at once that it was not run.
+  /// Starts a run, lets it wait for room, or answers that it was not run.
   void Start(link_id link, const run_start& start);
   void Stop(link_id link, const run_key& key);
   /// Stops what the entry of an ended link has started.
@@ -156,8 +160,24 @@
     std::optional<steady_time> stop_acknowledged = {};
   };
 
+  /// An order that waits for room.
+  struct waiting_order {
+    link_id link;
+    run_start start;
+    steady_time arrived;
+    /// Orders of jobs that have begun come first, then the one that has to
+    /// begin first.
+    auto Rank() const { return std::pair(!start.begun, arrived + start.slack); }
+  };
+
   bool Accepting() const;
   const char* Refusal(const run_start& start) const;
+  void Refuse(link_id link, const run_start& start, const char* cause);
+  void Order(link_id link, const run_start& start);
+  void Wait(link_id link, const run_start& start);
+  void StartWaiting();
+  void RefuseWaiting(const char* cause);
+  room Unused() const;
   void OnStartReply(const run_key& key, start_reply reply);
   void OnRenewal(steady_time sent, const std::optional<lease_reply>& reply);
   void TakeEnds(const lease_reply& reply);
@@ -187,6 +207,8 @@
   steady_time extended_;  ///< when the lease was last extended
   room used_;
   std::map<run_key, active_run> runs_;
+  std::vector<waiting_order> waiting_;
+  std::int64_t waiting_cpu_milli_ = 0;
   std::set<run_key> stopping_foreign_;
   counter& starts_;
   counter& refused_;
--- a/src/libalmond/controllers/entry/endpoint_pool.cc
+++ b/src/libalmond/controllers/entry/endpoint_pool.cc
@@ -32,6 +32,12 @@
 
 std::optional<endpoint_key> endpoint_pool::Choose(
     const placement_request& request) {
+  const auto at_once = ChooseWithin(request, false);
+  return at_once ? at_once : ChooseWithin(request, true);
+}
+
+std::optional<endpoint_key> endpoint_pool::ChooseWithin(
+    const placement_request& request, bool may_wait) {
   std::uniform_real_distribution<double> jitter(1 - kJitter, 1 + kJitter);
   const bool avoid = AvoidsSuspects(request.service);
   std::optional<endpoint_key> best;
@@ -39,10 +45,12 @@
   bool best_avoided = false;
   for (auto& [key, endpoint] : endpoints_) {
     if (!endpoint.state.accepting ||
-        endpoint.state.service != request.service ||
-        !Unused(endpoint).Holds(request.needed)) {
+        endpoint.state.service != request.service) {
       continue;
     }
+    room usable = Unused(endpoint);
+    if (may_wait) usable.cpu_milli += WaitingCpu(endpoint.state.total);
+    if (!usable.Holds(request.needed)) continue;
     const bool suspect = avoid && Suspect(endpoint);
     const bool probe_due =
         !endpoint.probed ||
--- a/src/libalmond/controllers/entry/endpoint_pool.h
+++ b/src/libalmond/controllers/entry/endpoint_pool.h
@@ -67,7 +67,8 @@
   void Update(link_id link, const endpoint_state& state);
   void RemoveLink(link_id link);
 
-  /// @returns the best endpoint with room, or nothing
+  /// @returns the best endpoint with room; if there is none, the best one at
+  ///   whose agent an order may wait; or nothing
   std::optional<endpoint_key> Choose(const placement_request& request);
   /// Takes the room of a run that is about to be ordered.
   /// @returns the number of the order on its link, and the stamp to send
@@ -105,6 +106,8 @@
     std::map<run_key, placed_run> runs;
   };
 
+  std::optional<endpoint_key> ChooseWithin(const placement_request& request,
+                                           bool may_wait);
   room Unused(const record& endpoint) const;
   bool Suspect(const record& endpoint) const;
   /// @returns true if few enough endpoints of the service are suspect
--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -351,6 +351,9 @@
   start.service = entry.service;
   start.spec = entry.request.spec;
   start.needed = part.plan.needed;
+  start.slack = std::chrono::duration_cast<milliseconds>(part.latest_start -
+                                                         clock_.SteadyNow());
+  start.begun = entry.begun;
   std::tie(start.order, start.heard) =
       endpoints_.Place(*place, start.key, part.plan.needed, part.plan.estimate);
   LogRun("run_placed", *place, start.key,
--- a/src/libalmond/core/run_messages.h
+++ b/src/libalmond/core/run_messages.h
@@ -40,6 +40,16 @@
   lost         ///< ended with the endpoint, or with its lease
 };
 
+/// Orders may wait at an agent for this share of an endpoint's processors, so
+/// that room is used at once when it becomes free: a round trip to an entry
+/// takes up to a tenth of a short task's time.
+inline constexpr std::int64_t kWaitingShare = 8;
+
+/// @returns processors for which orders may wait at an endpoint's agent
+inline std::int64_t WaitingCpu(const room& total) {
+  return total.cpu_milli / kWaitingShare;
+}
+
 /// Entry to agent: start a run.
 struct run_start {
   endpoint_id endpoint;
@@ -49,6 +59,10 @@
   room needed;
   agent_stamp heard;        ///< newest stamp that the entry has of this agent
   std::uint64_t order = 0;  ///< counts this link's starts, from 1
+  /// Time left until the run has to begin to meet its objective; negative if
+  /// that has passed.
+  milliseconds slack{0};
+  bool begun = false;  ///< other runs of the job have begun
 };
 
 /// Entry to agent: stop a run.
@@ -63,6 +77,7 @@
   service_id service;
   data_centre_id data_centre;
   room total;
+  /// Negative by the room of orders that wait at the agent.
   room unused;
   bool accepting = false;  ///< false if leaving, gone, or not under a lease
   agent_stamp stamp;
--- a/src/libalmond/net/peer_link.h
+++ b/src/libalmond/net/peer_link.h
@@ -25,6 +25,7 @@
 /// silent connections by pings with a deadline.
 class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
+  static constexpr milliseconds kSilenceLimit = link_limits().silence_limit;
   /// Unsent bytes at which a peer that does not read is disconnected.
   static constexpr std::size_t kMaxUnsentBytes = std::size_t{64} << 20U;
 
--- a/src/libalmond/processes/control_client.cc
+++ b/src/libalmond/processes/control_client.cc
@@ -176,7 +176,7 @@
   if (open_.contains(number)) return;
   leader_here_ = false;
   last_heartbeat_ =
-      clock_.SteadyNow() - timing_.heartbeat_period + kElectionPause;
+      clock_.SteadyNow() - timing_.heartbeat_period + timing_.election_pause;
   if (++leaderless_ >= kMaxLeaderless) LeaveFor(std::nullopt);
 }
 
--- a/src/libalmond/processes/control_client.h
+++ b/src/libalmond/processes/control_client.h
@@ -22,6 +22,8 @@
   milliseconds heartbeat_period{1000};
   /// A control process that answers nothing for so long is left for the next.
   milliseconds silence_limit{1500};
+  /// Time to the next heartbeat to a control process that knows no leader.
+  milliseconds election_pause{500};
 };
 
 /// An entry's or agent's side of the control protocol: finds and follows the
@@ -35,13 +37,13 @@
   static constexpr milliseconds kResendPeriod{500};
   static constexpr milliseconds kSilenceLimit =
       control_client_timing().silence_limit;
+  static constexpr milliseconds kElectionPause =
+      control_client_timing().election_pause;
   /// An address that cannot be connected for so long is left for the next.
   static constexpr milliseconds kConnectLimit{500};
   /// Shortest time at one address, so that processes do not dial in a circle
   /// at full speed while the control processes name different leaders.
   static constexpr milliseconds kMinStay{200};
-  /// Time to the next heartbeat to a control process that knows no leader.
-  static constexpr milliseconds kElectionPause{500};
   /// Heartbeats that a control process may refuse without the name of a leader
   /// before it is left: it may be cut off from the others.
   static constexpr int kMaxLeaderless = 2;
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -38,10 +38,10 @@
 class replica {
  public:
   static constexpr milliseconds kHeartbeatInterval{100};
-  static constexpr milliseconds kMinElectionTimeout{1000};
-  static constexpr milliseconds kMaxElectionTimeout{2000};
+  static constexpr milliseconds kMinElectionTimeout{500};
+  static constexpr milliseconds kMaxElectionTimeout{1000};
   /// A leader without replies of a majority for this time steps down.
-  static constexpr milliseconds kLeaderContactLimit{1500};
+  static constexpr milliseconds kLeaderContactLimit{750};
   /// Entries that a leader sends ahead of a replica's replies.
   static constexpr log_index kMaxEntriesAhead = 4096;
 
--- a/src/libalmond/wire/gen/run_types.cpp
+++ b/src/libalmond/wire/gen/run_types.cpp
@@ -379,6 +379,14 @@
 void RunStart::__set_order(const int64_t val) {
   this->order = val;
 }
+
+void RunStart::__set_slack_ms(const int64_t val) {
+  this->slack_ms = val;
+}
+
+void RunStart::__set_begun(const bool val) {
+  this->begun = val;
+}
 std::ostream& operator<<(std::ostream& out, const RunStart& obj)
 {
   obj.printTo(out);
@@ -463,6 +471,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slack_ms);
+          this->__isset.slack_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begun);
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -508,6 +532,14 @@
   xfer += oprot->writeI64(this->order);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("slack_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->slack_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->begun);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -522,6 +554,8 @@
   swap(a.needed, b.needed);
   swap(a.heard, b.heard);
   swap(a.order, b.order);
+  swap(a.slack_ms, b.slack_ms);
+  swap(a.begun, b.begun);
   swap(a.__isset, b.__isset);
 }
 
@@ -533,6 +567,8 @@
   needed = other8.needed;
   heard = other8.heard;
   order = other8.order;
+  slack_ms = other8.slack_ms;
+  begun = other8.begun;
   __isset = other8.__isset;
 }
 RunStart::RunStart(RunStart&& other9) noexcept {
@@ -543,6 +579,8 @@
   needed = std::move(other9.needed);
   heard = other9.heard;
   order = other9.order;
+  slack_ms = other9.slack_ms;
+  begun = other9.begun;
   __isset = other9.__isset;
 }
 RunStart& RunStart::operator=(const RunStart& other10) {
@@ -553,6 +591,8 @@
   needed = other10.needed;
   heard = other10.heard;
   order = other10.order;
+  slack_ms = other10.slack_ms;
+  begun = other10.begun;
   __isset = other10.__isset;
   return *this;
 }
@@ -564,6 +604,8 @@
   needed = std::move(other11.needed);
   heard = other11.heard;
   order = other11.order;
+  slack_ms = other11.slack_ms;
+  begun = other11.begun;
   __isset = other11.__isset;
   return *this;
 }
@@ -577,6 +619,8 @@
   out << ", " << "needed=" << to_string(needed);
   out << ", " << "heard=" << to_string(heard);
   out << ", " << "order=" << to_string(order);
+  out << ", " << "slack_ms=" << to_string(slack_ms);
+  out << ", " << "begun=" << to_string(begun);
   out << ")";
 }
 
--- a/src/libalmond/wire/gen/run_types.h
+++ b/src/libalmond/wire/gen/run_types.h
@@ -166,7 +166,7 @@
 std::ostream& operator<<(std::ostream& out, const RunKey& obj);
 
 typedef struct _RunStart__isset {
-  _RunStart__isset() : endpoint(false), key(false), service_name(false), spec(false), needed(false), heard(false), order(false) {}
+  _RunStart__isset() : endpoint(false), key(false), service_name(false), spec(false), needed(false), heard(false), order(false), slack_ms(false), begun(false) {}
   bool endpoint :1;
   bool key :1;
   bool service_name :1;
@@ -174,6 +174,8 @@
   bool needed :1;
   bool heard :1;
   bool order :1;
+  bool slack_ms :1;
+  bool begun :1;
 } _RunStart__isset;
 
 class RunStart : public virtual ::apache::thrift::TBase {
@@ -188,7 +190,9 @@
              service_name(),
              spec(),
              heard(0),
-             order(0) {
+             order(0),
+             slack_ms(0),
+             begun(0) {
   }
 
   virtual ~RunStart() noexcept;
@@ -199,6 +203,8 @@
   Room needed;
   int64_t heard;
   int64_t order;
+  int64_t slack_ms;
+  bool begun;
 
   _RunStart__isset __isset;
 
@@ -216,6 +222,10 @@
 
   void __set_order(const int64_t val);
 
+  void __set_slack_ms(const int64_t val);
+
+  void __set_begun(const bool val);
+
   bool operator == (const RunStart & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -232,6 +242,10 @@
       return false;
     if (!(order == rhs.order))
       return false;
+    if (!(slack_ms == rhs.slack_ms))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
     return true;
   }
   bool operator != (const RunStart &rhs) const {
--- a/src/libalmond/wire/run_codec.cc
+++ b/src/libalmond/wire/run_codec.cc
@@ -65,6 +65,8 @@
   result.needed = Encode(start.needed);
   result.heard = ToWire(start.heard);
   result.order = static_cast<std::int64_t>(start.order);
+  result.slack_ms = start.slack.count();
+  result.begun = start.begun;
   return MakeFrame(frame_type::run_start, result);
 }
 
@@ -77,6 +79,8 @@
   start.needed = Decode(encoded.needed);
   start.heard = NumberFromWire<agent_stamp>(encoded.heard);
   start.order = static_cast<std::uint64_t>(encoded.order);
+  start.slack = milliseconds(encoded.slack_ms);
+  start.begun = encoded.begun;
   return start;
 }
 
