--- a/src/libalmond/controllers/control/command_codec.cc
+++ b/src/libalmond/controllers/control/command_codec.cc
@@ -132,6 +132,24 @@
   value.document = reader.Text();
 }
 
+void Write(byte_writer& writer, const replica_moved& value) {
+  writer.Text(value.id);
+  writer.Text(value.peer);
+  writer.Text(value.control);
+  writer.Text(value.http);
+}
+
+void Read(byte_reader& reader, replica_moved& value) {
+  value.id = reader.Text();
+  value.peer = reader.Text();
+  value.control = reader.Text();
+  value.http = reader.Text();
+}
+
+void Write(byte_writer& /*writer*/, const replica_moved_result& /*value*/) {}
+
+void Read(byte_reader& /*reader*/, replica_moved_result& /*value*/) {}
+
 void Write(byte_writer& writer, const claim_result& value) {
   writer.Number(value.reply ? 1 : 0);
   if (!value.reply) return;
--- a/src/libalmond/controllers/control/control_command.h
+++ b/src/libalmond/controllers/control/control_command.h
@@ -2,6 +2,7 @@
 #define ALMOND_CONTROLLERS_CONTROL_CONTROL_COMMAND_H_
 
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -25,11 +26,24 @@
   std::vector<takeover_item> items;
 };
 
+/// A replica is reached at other addresses than before.
+struct replica_moved {
+  std::string id;
+  std::string peer;     ///< IP and port for the other replicas
+  std::string control;  ///< IP and port for entries and agents
+  std::string http;     ///< IP and port for operators
+
+  bool operator==(const replica_moved&) const = default;
+};
+
+/// Result of replica_moved.
+struct replica_moved_result {};
+
 /// One entry of the replicated log.
 struct control_command {
   wall_time now;  ///< by the leader's clock; sets the log's time
   std::variant<ledger_claim_message, ledger_finish_message, takeover_command,
-               config_change, numbered_config>
+               config_change, numbered_config, replica_moved>
       body;
 };
 
@@ -43,10 +57,10 @@
   std::uint32_t taken = 0;  ///< submissions that changed their owner
 };
 
-/// Result of a command, in the order of the command's alternatives; both kinds
-/// of configuration have the last one.
-using control_result = std::variant<claim_result, ledger_finish_reply_message,
-                                    takeover_result, change_result>;
+/// Result of a command; both kinds of configuration have a change_result.
+using control_result =
+    std::variant<claim_result, ledger_finish_reply_message, takeover_result,
+                 change_result, replica_moved_result>;
 
 }  // namespace almond
 
--- a/src/libalmond/controllers/control/control_service.cc
+++ b/src/libalmond/controllers/control/control_service.cc
@@ -97,6 +97,14 @@
   hooks_.propose(EncodeCommand(command), on_end);
 }
 
+void control_service::MoveReplica(const replica_moved& move,
+                                  std::function<void(bool)> on_end) {
+  hooks_.propose(EncodeCommand(Command(move)),
+                 [on_end = std::move(on_end)](const proposal_result& end) {
+                   on_end(end.outcome == proposal_outcome::committed);
+                 });
+}
+
 void control_service::Read(read_hook on_confirmed) {
   reads_.push_back(std::move(on_confirmed));
   if (reads_.size() == 1) hooks_.defer([this] { FlushReads(); });
--- a/src/libalmond/controllers/control/control_service.h
+++ b/src/libalmond/controllers/control/control_service.h
@@ -92,6 +92,10 @@
   /// @param on_answer called once
   void SetNumbered(const numbered_config& config, change_hook on_answer);
 
+  /// Proposes that a replica has moved.
+  /// @param on_end called with true once it is committed
+  void MoveReplica(const replica_moved& move, std::function<void(bool)> on_end);
+
   /// Calls back when the state may be read. All reads of one iteration of the
   /// loop share one confirmation.
   void Read(read_hook on_confirmed);
--- a/src/libalmond/controllers/control/control_state_machine.cc
+++ b/src/libalmond/controllers/control/control_state_machine.cc
@@ -8,7 +8,9 @@
 namespace {
 
 // First value of each snapshot; another layout gets another number.
-constexpr std::uint64_t kSnapshotFormat = 1;
+constexpr std::uint64_t kSnapshotFormat = 2;
+// Without the replicas that have moved.
+constexpr std::uint64_t kFormatWithoutMoves = 1;
 
 }  // namespace
 
@@ -28,17 +30,36 @@
   writer.Number(kSnapshotFormat);
   config_.Save(writer);
   ledger_.Save(writer);
+  writer.Number(moved_.size());
+  for (const auto& [id, move] : moved_) {
+    writer.Text(move.id);
+    writer.Text(move.peer);
+    writer.Text(move.control);
+    writer.Text(move.http);
+  }
   return writer.Take();
 }
 
 bool control_state_machine::Restore(const std::string& snapshot) {
   byte_reader reader(snapshot);
-  if (reader.Number() != kSnapshotFormat) return false;
+  const std::uint64_t format = reader.Number();
+  if (format != kSnapshotFormat && format != kFormatWithoutMoves) return false;
   config_store config;
   ledger restored(options_);
-  if (!config.Load(reader) || !restored.Load(reader) || !reader.Finished()) {
-    return false;
+  if (!config.Load(reader) || !restored.Load(reader)) return false;
+  std::map<std::string, replica_moved> moved;
+  const std::uint64_t moves =
+      format == kFormatWithoutMoves ? 0 : reader.Number();
+  for (std::uint64_t i = 0; i < moves && reader.Ok(); ++i) {
+    replica_moved move;
+    move.id = reader.Text();
+    move.peer = reader.Text();
+    move.control = reader.Text();
+    move.http = reader.Text();
+    moved[move.id] = move;
   }
+  if (!reader.Finished()) return false;
+  moved_ = std::move(moved);
   config_ = std::move(config);
   ledger_ = std::move(restored);
   return true;
@@ -70,4 +91,9 @@
   return config_.Apply(ledger_.Now(), config);
 }
 
+control_result control_state_machine::Run(const replica_moved& move) {
+  moved_[move.id] = move;
+  return replica_moved_result{};
+}
+
 }  // namespace almond
--- a/src/libalmond/controllers/control/control_state_machine.h
+++ b/src/libalmond/controllers/control/control_state_machine.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_CONTROLLERS_CONTROL_CONTROL_STATE_MACHINE_H_
 #define ALMOND_CONTROLLERS_CONTROL_CONTROL_STATE_MACHINE_H_
 
+#include <map>
 #include <string>
 
 #include "libalmond/controllers/control/config_store.h"
@@ -31,6 +32,8 @@
 
   const config_store& Config() const { return config_; }
   const ledger& Ledger() const { return ledger_; }
+  /// @returns the replicas that have moved since the first start, by id
+  const std::map<std::string, replica_moved>& Moved() const { return moved_; }
 
  private:
   control_result Run(const ledger_claim_message& claim);
@@ -38,10 +41,12 @@
   control_result Run(const takeover_command& takeover);
   control_result Run(const config_change& change);
   control_result Run(const numbered_config& config);
+  control_result Run(const replica_moved& move);
 
   ledger_options options_;
   config_store config_;
   ledger ledger_;
+  std::map<std::string, replica_moved> moved_;
 };
 
 }  // namespace almond
--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libalmond/core/logging.h"
+#include "libalmond/net/http_client.h"
 #include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
 
@@ -54,8 +55,8 @@
           [this](read_hook on_end) { host_->ConfirmRead(std::move(on_end)); },
           [this] { return Leads(); },
           [this] {
-            const control_address* leader = LeaderAddress();
-            return leader == nullptr ? "" : leader->control.ToString();
+            const auto leader = LeaderAddress();
+            return leader ? leader->control.ToString() : "";
           },
           [this](std::function<void()> call) {
             loop_.Post(milliseconds(0), std::move(call));
@@ -132,25 +133,80 @@
   return host_ ? host_->LeaderId().Value() : "";
 }
 
-const control_address* control_process::LeaderAddress() const {
+std::vector<control_address> control_process::Addresses() const {
+  std::vector<control_address> result = settings_.replicas;
+  for (control_address& replica : result) {
+    const auto move = machine_.Moved().find(replica.id);
+    if (move == machine_.Moved().end()) continue;
+    const auto peer = socket_address::Parse(move->second.peer);
+    const auto control = socket_address::Parse(move->second.control);
+    if (peer) replica.peer = *peer;
+    if (control) replica.control = *control;
+    replica.http = socket_address::Parse(move->second.http);
+  }
+  return result;
+}
+
+std::optional<control_address> control_process::LeaderAddress() const {
   const std::string leader = LeaderId();
-  const auto found = std::find_if(
-      settings_.replicas.begin(), settings_.replicas.end(),
-      [&leader](const auto& replica) { return replica.id == leader; });
-  return found == settings_.replicas.end() ? nullptr : &*found;
+  for (const control_address& replica : Addresses()) {
+    if (replica.id == leader) return replica;
+  }
+  return std::nullopt;
+}
+
+void control_process::FollowMoves() {
+  for (const control_address& replica : Addresses()) {
+    if (replica.id != settings_.id) {
+      host_->MovePeer(replica_id(replica.id), replica.peer);
+    }
+  }
+}
+
+void control_process::ReportOwnMove() {
+  const replica_moved own{settings_.id, settings_.listen_peer.ToString(),
+                          listener_.Address().ToString(),
+                          http_.Address().ToString()};
+  for (const control_address& replica : Addresses()) {
+    if (replica.id != settings_.id) continue;
+    if (replica.peer == settings_.listen_peer) return;
+  }
+  if (Leads()) {
+    service_.MoveReplica(own, [](bool /*committed*/) {});
+    return;
+  }
+  const auto leader = socket_address::Parse(LeaderHttp());
+  if (!leader) return;
+  SendHttpRequest(
+      loop_, *leader, {"POST", "/v1/replicas", "", {}, EncodeMove(own)},
+      control_service::kTickPeriod, [](const http_call_result& /*result*/) {});
+}
+
+void control_process::CheckReplaced() {
+  if (!on_replaced_ || !host_->Status().replaced) return;
+  LOG(WARNING) << "replica " << settings_.id << " was replaced";
+  std::exchange(on_replaced_, nullptr)();
 }
 
 std::string control_process::LeaderHttp() const {
-  const control_address* leader = LeaderAddress();
-  return leader == nullptr || !leader->http ? "" : leader->http->ToString();
+  const auto leader = LeaderAddress();
+  return !leader || !leader->http ? "" : leader->http->ToString();
 }
 
 std::vector<replica_summary> control_process::Replicas() const {
   const replica_status status = host_->Status();
   std::vector<replica_summary> result;
-  for (const control_address& replica : settings_.replicas) {
+  for (const control_address& replica : Addresses()) {
     replica_summary& summary = result.emplace_back();
     summary.id = replica.id;
+    summary.peer = replica.peer.ToString();
+    summary.control = replica.control.ToString();
+    summary.http = replica.http ? replica.http->ToString() : "";
+    const auto heard = status.heard.find(replica_id(replica.id));
+    if (heard != status.heard.end()) {
+      summary.silent = std::chrono::duration_cast<milliseconds>(
+          clock_.SteadyNow() - heard->second);
+    }
     summary.admitted = status.members.contains(replica_id(replica.id));
     summary.role = replica.id == status.leader.Value() ? "leader" : "follower";
     if (replica.id != settings_.id) continue;
@@ -190,6 +246,9 @@
 
 void control_process::Tick() {
   service_.Tick();
+  FollowMoves();
+  ReportOwnMove();
+  CheckReplaced();
   metrics_.Gauge("almond_control_leader").Set(Leads() ? 1 : 0);
   metrics_.Gauge("almond_control_config_version")
       .Set(static_cast<double>(machine_.Config().Newest().Value()));
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -47,6 +47,11 @@
   /// @returns nothing, or why it cannot start
   std::optional<std::string> Start();
 
+  /// @param on_replaced called once if another process has taken this one's
+  ///   place; the data folder is then of no more use
+  void OnReplaced(std::function<void()> on_replaced) {
+    on_replaced_ = std::move(on_replaced);
+  }
   control_service& Service() { return service_; }
   const control_state_machine& State() const { return machine_; }
   /// @returns the leader's address for operators, empty if not known
@@ -65,7 +70,12 @@
   std::optional<std::string> StartHost();
   std::string Apply(const std::string& command);
   std::string LeaderId() const;
-  const control_address* LeaderAddress() const;
+  std::optional<control_address> LeaderAddress() const;
+  /// @returns where the replicas are reached now
+  std::vector<control_address> Addresses() const;
+  void FollowMoves();
+  void ReportOwnMove();
+  void CheckReplaced();
   std::vector<replica_summary> Replicas() const;
 
   void OnAccept(const std::shared_ptr<peer_link>& link);
@@ -88,6 +98,7 @@
   link_id last_link_;
   std::unique_ptr<replica_host> host_;
   event_handle tick_timer_;
+  std::function<void()> on_replaced_;
 };
 
 }  // namespace almond
--- a/src/libalmond/processes/control_process_api.cc
+++ b/src/libalmond/processes/control_process_api.cc
@@ -7,7 +7,8 @@
 
 bool KnownPath(const std::string& path) {
   return path == "/v1/config" || path == "/v1/config/history" ||
-         path == "/v1/status" || path == "/healthz" || path == "/metrics";
+         path == "/v1/status" || path == "/v1/replicas" || path == "/healthz" ||
+         path == "/metrics";
 }
 
 }  // namespace
@@ -29,6 +30,8 @@
     HandleGet(request, respond);
   } else if (request.method == "POST" && request.path == "/v1/config") {
     PostConfig(request, respond);
+  } else if (request.method == "POST" && request.path == "/v1/replicas") {
+    PostMove(request, respond);
   } else {
     respond(ReasonResponse(405, "unknown-method"));
   }
@@ -42,6 +45,8 @@
     GetHistory(respond);
   } else if (request.path == "/v1/status") {
     respond(Status());
+  } else if (request.path == "/v1/replicas") {
+    respond(ReasonResponse(405, "unknown-method"));
   } else if (request.path == "/healthz") {
     respond(Health());
   } else {
@@ -63,6 +68,25 @@
                         });
 }
 
+void control_process_api::PostMove(const http_request& request,
+                                   const http_server::responder& respond) {
+  const auto move = DecodeMove(request.body);
+  if (!move) {
+    respond(ReasonResponse(400, "bad-request"));
+    return;
+  }
+  if (!hooks_.is_leader()) {
+    respond(NotLeaderResponse(hooks_.leader_http()));
+    return;
+  }
+  service_.MoveReplica(*move, [this, respond](bool committed) {
+    respond(
+        committed
+            ? http_response{200, {{"Content-Type", "application/json"}}, "{}"}
+            : NotLeaderResponse(hooks_.leader_http()));
+  });
+}
+
 void control_process_api::GetConfig(const http_request& request,
                                     const http_server::responder& respond) {
   const auto parsed = ParseVersionQuery(request.query);
--- a/src/libalmond/processes/control_process_api.h
+++ b/src/libalmond/processes/control_process_api.h
@@ -40,6 +40,8 @@
                  const http_server::responder& respond);
   void PostConfig(const http_request& request,
                   const http_server::responder& respond);
+  void PostMove(const http_request& request,
+                const http_server::responder& respond);
   void GetConfig(const http_request& request,
                  const http_server::responder& respond);
   void GetHistory(const http_server::responder& respond);
--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libalmond/core/socket_address.h"
+
 namespace almond {
 namespace {
 
@@ -118,6 +120,10 @@
                  {"admitted", replica.admitted}};
   if (replica.term) result["term"] = *replica.term;
   if (replica.commit_index) result["commit_index"] = *replica.commit_index;
+  result["peer"] = replica.peer;
+  result["control"] = replica.control;
+  if (!replica.http.empty()) result["http"] = replica.http;
+  if (replica.silent) result["silent_ms"] = replica.silent->count();
   return result;
 }
 
@@ -131,6 +137,34 @@
   return JsonResponse(503, {{"reason", "not-leader"}, {"leader", leader}});
 }
 
+std::string EncodeMove(const replica_moved& move) {
+  return json{{"id", move.id},
+              {"peer", move.peer},
+              {"control", move.control},
+              {"http", move.http}}
+      .dump();
+}
+
+std::optional<replica_moved> DecodeMove(const std::string& body) {
+  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!parsed.is_object()) return std::nullopt;
+  replica_moved move;
+  for (const auto& [name, text] : {std::pair("id", &move.id),
+                                   {"peer", &move.peer},
+                                   {"control", &move.control},
+                                   {"http", &move.http}}) {
+    const json* field = Field(parsed, name);
+    if (field == nullptr || !field->is_string()) return std::nullopt;
+    *text = field->get<std::string>();
+  }
+  if (!socket_address::Parse(move.peer) ||
+      !socket_address::Parse(move.control) ||
+      !socket_address::Parse(move.http)) {
+    return std::nullopt;
+  }
+  return move;
+}
+
 std::variant<change_request, http_response> ParseChange(
     const std::string& body) {
   if (body.size() > kMaxChangeBytes) {
--- a/src/libalmond/processes/control_process_codec.h
+++ b/src/libalmond/processes/control_process_codec.h
@@ -26,8 +26,18 @@
   /// Known only for the replica that answers.
   std::optional<std::uint64_t> term;
   std::optional<std::uint64_t> commit_index;
+  std::string peer = {};     ///< IP and port for the other replicas
+  std::string control = {};  ///< IP and port for entries and agents
+  std::string http = {};     ///< IP and port for operators; empty if not stated
+  /// Time since the leader last heard of it; known only there.
+  std::optional<milliseconds> silent = {};
 };
 
+/// @returns the body of POST /v1/replicas
+std::string EncodeMove(const replica_moved& move);
+/// @returns the move, or nothing if the body is not one
+std::optional<replica_moved> DecodeMove(const std::string& body);
+
 /// Largest body of a change in bytes. The last 32 documents are kept in memory
 /// and in each snapshot.
 inline constexpr std::size_t kMaxChangeBytes = std::size_t{1} << 20U;
--- a/src/libalmond/processes/replica_host.cc
+++ b/src/libalmond/processes/replica_host.cc
@@ -71,6 +71,11 @@
   implementation_->ConfirmRead(std::move(on_end));
 }
 
+void replica_host::MovePeer(const replica_id& id,
+                            const socket_address& replication) {
+  implementation_->MovePeer(id, replication);
+}
+
 bool replica_host::IsLeader() const {
   return implementation_->Replica().IsLeader();
 }
--- a/src/libalmond/processes/replica_host.h
+++ b/src/libalmond/processes/replica_host.h
@@ -79,6 +79,9 @@
   /// @param on_end called once, later on the loop
   void ConfirmRead(read_hook on_end);
 
+  /// Reaches another replica at another address from now on.
+  void MovePeer(const replica_id& id, const socket_address& replication);
+
   bool IsLeader() const;
   /// @returns the leader's addresses, or nothing if no leader is known
   std::optional<replica_address> Leader() const;
--- a/src/libalmond/processes/replica_host_links.cc
+++ b/src/libalmond/processes/replica_host_links.cc
@@ -22,26 +22,34 @@
 bool replica_host_links::Start(const socket_address& address) {
   if (!listener_.Listen(address)) return false;
   for (const replica_address& peer : settings_.replicas) {
-    if (peer.id == settings_.self) continue;
-    dialers_[peer.id] = std::make_unique<peer_dialer>(
-        loop_, clock_, peer.replication,
-        peer_dialer::hooks{[] {},
-                           [this](const frame& encoded) { Receive(encoded); },
-                           [](const std::string&) {}});
+    if (peer.id != settings_.self) Dial(peer);
   }
   return true;
 }
 
+void replica_host_links::Redial(const replica_address& peer) {
+  if (dialers_.count(peer.id) > 0) Dial(peer);
+}
+
+void replica_host_links::Dial(const replica_address& peer) {
+  dialers_[peer.id] = std::make_unique<peer_dialer>(
+      loop_, clock_, peer.replication,
+      peer_dialer::hooks{[] {},
+                         [this](const frame& encoded) { Receive(encoded); },
+                         [](const std::string&) {}});
+}
+
 void replica_host_links::Send(const replica_message& message) {
   const frame encoded = EncodeReplicaMessage(message, settings_.cluster);
   const auto dialer = dialers_.find(message.to);
   if (dialer == dialers_.end()) return;
-  if (dialer->second->Connected()) {
+  // A replica that was replaced dials from another address than the known one.
+  const auto sender = senders_.find(message.to);
+  if (sender != senders_.end()) {
+    sender->second->Send(encoded);
+  } else {
     dialer->second->Send(encoded);
-    return;
   }
-  const auto sender = senders_.find(message.to);
-  if (sender != senders_.end()) sender->second->Send(encoded);
 }
 
 void replica_host_links::Accept(const std::shared_ptr<peer_link>& link) {
--- a/src/libalmond/processes/replica_host_links.h
+++ b/src/libalmond/processes/replica_host_links.h
@@ -31,10 +31,13 @@
   /// @param address of this replica
   /// @returns false if the address cannot be bound
   bool Start(const socket_address& address);
+  /// Dials a replica at another address.
+  void Redial(const replica_address& peer);
   /// Sends a message; it is lost while there is no connection.
   void Send(const replica_message& message);
 
  private:
+  void Dial(const replica_address& peer);
   void Accept(const std::shared_ptr<peer_link>& link);
   void Drop(const std::shared_ptr<peer_link>& link);
   /// @returns the sender, empty if the frame is not valid
--- a/src/libalmond/processes/replica_host_state.cc
+++ b/src/libalmond/processes/replica_host_state.cc
@@ -89,6 +89,15 @@
   ScheduleFlush();
 }
 
+void replica_host::implementation::MovePeer(const replica_id& id,
+                                            const socket_address& replication) {
+  for (replica_address& replica : settings_.replicas) {
+    if (replica.id != id || replica.replication == replication) continue;
+    replica.replication = replication;
+    links_.Redial(replica);
+  }
+}
+
 const replica_address* replica_host::implementation::AddressOf(
     const replica_id& id) const {
   for (const replica_address& replica : settings_.replicas) {
--- a/src/libalmond/processes/replica_host_state.h
+++ b/src/libalmond/processes/replica_host_state.h
@@ -22,6 +22,7 @@
   bool Start();
   void Propose(std::string command, proposal_hook on_end);
   void ConfirmRead(read_hook on_end);
+  void MovePeer(const replica_id& id, const socket_address& replication);
   const replica& Replica() const { return replica_; }
   const replica_address* AddressOf(const replica_id& id) const;
 
@@ -38,7 +39,7 @@
   event_loop& loop_;
   const clock_interface& clock_;
   metrics_registry& metrics_;
-  const replica_host_settings settings_;
+  replica_host_settings settings_;
   state_machine machine_;
   std::unique_ptr<replica_host_storage> storage_;
   replica replica_;
--- a/src/libalmond/replication/replica.cc
+++ b/src/libalmond/replication/replica.cc
@@ -181,6 +181,11 @@
   status.admitted = members.IsVoter(settings_.self, settings_.incarnation);
   status.replaced = members.IsRetired(settings_.self, settings_.incarnation);
   status.members = members.voters;
+  if (IsLeader()) {
+    for (const auto& [id, progress] : progress_) {
+      status.heard[id] = progress.LastContact();
+    }
+  }
   return status;
 }
 
--- a/src/libalmond/replication/replica_results.h
+++ b/src/libalmond/replication/replica_results.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "libalmond/core/clock.h"
 #include "libalmond/replication/replica_identity.h"
 
 namespace almond {
@@ -70,6 +71,8 @@
   /// Admitted incarnation of each replica as of the commit index; a replica
   /// that is being replaced is absent.
   std::map<replica_id, replica_incarnation> members;
+  /// When the leader last heard of each other replica; empty elsewhere.
+  std::map<replica_id, steady_time> heard;
 };
 
 }  // namespace almond
