Let one order of each entry wait at an agent, and wait less for lost answers

Change: an agent lets one order of each entry wait, up to the endpoint's room; entries do not send a second one and expect a wait by the missing room. Elections take 0.4 to 0.7 s.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -58,6 +58,8 @@
     Refuse(link, start, cause);
   } else if (waiting_.empty() && Unused().Holds(start.needed)) {
     Order(link, start);
+  } else if (Waiting(link) >= kMaxWaitingPerEntry) {
+    Refuse(link, start, "no room");
   } else {
     Wait(link, start);
     StartWaiting();
@@ -100,7 +102,7 @@
                    });
   // The least urgent ones go back if too many wait; one may wait in any case.
   while (waiting_.size() > 1 &&
-         waiting_cpu_milli_ > WaitingCpu(endpoint_.total)) {
+         waiting_cpu_milli_ > endpoint_.total.cpu_milli) {
     const waiting_order last = std::move(waiting_.back());
     waiting_.pop_back();
     waiting_cpu_milli_ -= last.start.needed.cpu_milli;
@@ -109,6 +111,12 @@
   Changed();
 }
 
+std::size_t run_controller::Waiting(link_id link) const {
+  return static_cast<std::size_t>(std::count_if(
+      waiting_.begin(), waiting_.end(),
+      [link](const waiting_order& order) { return order.link == link; }));
+}
+
 void run_controller::StartWaiting() {
   while (!waiting_.empty() && Accepting() &&
          Unused().Holds(waiting_.front().start.needed)) {
@@ -388,7 +396,7 @@
          !agent_leaving_ && clock_.SteadyNow() - answered_ < kSilenceLimit;
 }
 
-endpoint_state run_controller::State() const {
+endpoint_state run_controller::State(link_id link) const {
   endpoint_state state;
   state.endpoint = endpoint_.id;
   state.service = endpoint_.service;
@@ -396,6 +404,7 @@
   state.total = endpoint_.total;
   state.unused = Unused();
   state.unused.cpu_milli -= waiting_cpu_milli_;
+  state.own_waiting = static_cast<std::uint32_t>(Waiting(link));
   state.accepting = Accepting();
   state.stamp = agent_stamp(static_cast<std::uint64_t>(
       Milliseconds(clock_.SteadyNow().time_since_epoch())));
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -77,7 +77,7 @@
   /// for its end before they start the tasks elsewhere.
   static constexpr milliseconds kLease{700};
   /// Time that a renewal waits at the endpoint for an end.
-  static constexpr milliseconds kRenewalWait{100};
+  static constexpr milliseconds kRenewalWait{40};
   /// Without an answer for so long the lease is no longer extended, so that it
   /// runs out at a known time.
   static constexpr milliseconds kSilenceLimit{400};
@@ -94,8 +94,11 @@
   /// An order that has waited for room so long goes back to its entry, which
   /// may know a better place by then.
   static constexpr milliseconds kMaxWait{60};
+  /// Starts of one entry that wait at a time. More would only be refused to
+  /// each other's advantage: every entry would order each piece of room.
+  static constexpr std::size_t kMaxWaitingPerEntry = 1;
   /// An unanswered stop is sent again after this time.
-  static constexpr milliseconds kStopRetry{100};
+  static constexpr milliseconds kStopRetry{20};
   /// Step by which a fencing token is raised that an endpoint refused. The
   /// tokens are milliseconds of the calendar, so this covers a clock that
   /// jumped back.
@@ -142,8 +145,8 @@
   /// To be called each kTickPeriod.
   void Tick();
 
-  /// @returns the state for entries, without the parts of a link
-  endpoint_state State() const;
+  /// @returns the state for entries, without `orders_seen`
+  endpoint_state State(link_id link) const;
   const leased_endpoint& Endpoint() const { return endpoint_; }
   std::size_t Runs() const { return runs_.size(); }
 
@@ -176,6 +179,7 @@
   void Order(link_id link, const run_start& start);
   void Wait(link_id link, const run_start& start);
   void StartWaiting();
+  std::size_t Waiting(link_id link) const;
   void RefuseWaiting(const char* cause);
   room Unused() const;
   void OnStartReply(const run_key& key, start_reply reply);
--- a/src/libalmond/controllers/entry/endpoint_pool.cc
+++ b/src/libalmond/controllers/entry/endpoint_pool.cc
@@ -48,9 +48,10 @@
         endpoint.state.service != request.service) {
       continue;
     }
-    room usable = Unused(endpoint);
-    if (may_wait) usable.cpu_milli += WaitingCpu(endpoint.state.total);
-    if (!usable.Holds(request.needed)) continue;
+    if (may_wait ? !MayWait(endpoint, request.needed)
+                 : !Unused(endpoint).Holds(request.needed)) {
+      continue;
+    }
     const bool suspect = avoid && Suspect(endpoint);
     const bool probe_due =
         !endpoint.probed ||
@@ -150,6 +151,12 @@
   return unused;
 }
 
+bool endpoint_pool::MayWait(const record& endpoint, const room& needed) const {
+  return endpoint.unseen.empty() && endpoint.state.own_waiting == 0 &&
+         endpoint.state.total.Holds(needed) &&
+         -Unused(endpoint).cpu_milli < endpoint.state.total.cpu_milli;
+}
+
 bool endpoint_pool::AvoidsSuspects(const service_id& service) const {
   std::size_t known = 0;
   std::size_t suspects = 0;
@@ -182,8 +189,13 @@
   const double remote = endpoint.state.data_centre == own_
                             ? 0
                             : static_cast<double>(kRemoteTime.count());
+  // Room that is missing now becomes free as runs end.
+  const std::int64_t missing = std::max<std::int64_t>(
+      0, request.needed.cpu_milli - Unused(endpoint).cpu_milli);
+  const double wait = static_cast<double>(kTurnover.count() * missing) /
+                      static_cast<double>(endpoint.state.total.cpu_milli + 1);
   return static_cast<double>(request.estimate.count()) * endpoint.slowness +
-         remote;
+         remote + wait;
 }
 
 }  // namespace almond
--- a/src/libalmond/controllers/entry/endpoint_pool.h
+++ b/src/libalmond/controllers/entry/endpoint_pool.h
@@ -55,6 +55,9 @@
   static constexpr milliseconds kProbePeriod{500};
   /// Expected time of a message to another data centre and back.
   static constexpr milliseconds kRemoteTime{3};
+  /// Time in which all room of a busy endpoint becomes free once, for tasks of
+  /// the usual length.
+  static constexpr milliseconds kTurnover{150};
   /// Relative random part of the expected time, so that entries that know the
   /// same do not all choose the same endpoint.
   static constexpr double kJitter = 0.08;
@@ -109,6 +112,8 @@
   std::optional<endpoint_key> ChooseWithin(const placement_request& request,
                                            bool may_wait);
   room Unused(const record& endpoint) const;
+  /// @returns true if an order may wait for room at the endpoint's agent
+  bool MayWait(const record& endpoint, const room& needed) const;
   bool Suspect(const record& endpoint) const;
   /// @returns true if few enough endpoints of the service are suspect
   bool AvoidsSuspects(const service_id& service) const;
--- a/src/libalmond/core/run_messages.h
+++ b/src/libalmond/core/run_messages.h
@@ -40,16 +40,6 @@
   lost         ///< ended with the endpoint, or with its lease
 };
 
-/// Orders may wait at an agent for this share of an endpoint's processors, so
-/// that room is used at once when it becomes free: a round trip to an entry
-/// takes up to a tenth of a short task's time.
-inline constexpr std::int64_t kWaitingShare = 8;
-
-/// @returns processors for which orders may wait at an endpoint's agent
-inline std::int64_t WaitingCpu(const room& total) {
-  return total.cpu_milli / kWaitingShare;
-}
-
 /// Entry to agent: start a run.
 struct run_start {
   endpoint_id endpoint;
@@ -82,6 +72,7 @@
   bool accepting = false;  ///< false if leaving, gone, or not under a lease
   agent_stamp stamp;
   std::uint64_t orders_seen = 0;  ///< starts of this link that `unused` covers
+  std::uint32_t own_waiting = 0;  ///< starts of this link that wait for room
 };
 
 /// Agent to entry: a run has ended.
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -37,11 +37,11 @@
 /// replicated by terms and majorities.
 class replica {
  public:
-  static constexpr milliseconds kHeartbeatInterval{100};
-  static constexpr milliseconds kMinElectionTimeout{500};
-  static constexpr milliseconds kMaxElectionTimeout{1000};
+  static constexpr milliseconds kHeartbeatInterval{80};
+  static constexpr milliseconds kMinElectionTimeout{400};
+  static constexpr milliseconds kMaxElectionTimeout{700};
   /// A leader without replies of a majority for this time steps down.
-  static constexpr milliseconds kLeaderContactLimit{750};
+  static constexpr milliseconds kLeaderContactLimit{600};
   /// Entries that a leader sends ahead of a replica's replies.
   static constexpr log_index kMaxEntriesAhead = 4096;
 
--- a/src/libalmond/wire/gen/run_types.cpp
+++ b/src/libalmond/wire/gen/run_types.cpp
@@ -783,6 +783,10 @@
 void EndpointState::__set_orders_seen(const int64_t val) {
   this->orders_seen = val;
 }
+
+void EndpointState::__set_own_waiting(const int32_t val) {
+  this->own_waiting = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointState& obj)
 {
   obj.printTo(out);
@@ -875,6 +879,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->own_waiting);
+          this->__isset.own_waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -924,6 +936,10 @@
   xfer += oprot->writeI64(this->orders_seen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("own_waiting", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->own_waiting);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -939,6 +955,7 @@
   swap(a.accepting, b.accepting);
   swap(a.stamp, b.stamp);
   swap(a.orders_seen, b.orders_seen);
+  swap(a.own_waiting, b.own_waiting);
   swap(a.__isset, b.__isset);
 }
 
@@ -951,6 +968,7 @@
   accepting = other16.accepting;
   stamp = other16.stamp;
   orders_seen = other16.orders_seen;
+  own_waiting = other16.own_waiting;
   __isset = other16.__isset;
 }
 EndpointState::EndpointState(EndpointState&& other17) noexcept {
@@ -962,6 +980,7 @@
   accepting = other17.accepting;
   stamp = other17.stamp;
   orders_seen = other17.orders_seen;
+  own_waiting = other17.own_waiting;
   __isset = other17.__isset;
 }
 EndpointState& EndpointState::operator=(const EndpointState& other18) {
@@ -973,6 +992,7 @@
   accepting = other18.accepting;
   stamp = other18.stamp;
   orders_seen = other18.orders_seen;
+  own_waiting = other18.own_waiting;
   __isset = other18.__isset;
   return *this;
 }
@@ -985,6 +1005,7 @@
   accepting = other19.accepting;
   stamp = other19.stamp;
   orders_seen = other19.orders_seen;
+  own_waiting = other19.own_waiting;
   __isset = other19.__isset;
   return *this;
 }
@@ -999,6 +1020,7 @@
   out << ", " << "accepting=" << to_string(accepting);
   out << ", " << "stamp=" << to_string(stamp);
   out << ", " << "orders_seen=" << to_string(orders_seen);
+  out << ", " << "own_waiting=" << to_string(own_waiting);
   out << ")";
 }
 
--- a/src/libalmond/wire/gen/run_types.h
+++ b/src/libalmond/wire/gen/run_types.h
@@ -316,7 +316,7 @@
 std::ostream& operator<<(std::ostream& out, const RunStop& obj);
 
 typedef struct _EndpointState__isset {
-  _EndpointState__isset() : endpoint(false), service_name(false), data_centre(false), total(false), unused(false), accepting(false), stamp(false), orders_seen(false) {}
+  _EndpointState__isset() : endpoint(false), service_name(false), data_centre(false), total(false), unused(false), accepting(false), stamp(false), orders_seen(false), own_waiting(false) {}
   bool endpoint :1;
   bool service_name :1;
   bool data_centre :1;
@@ -325,6 +325,7 @@
   bool accepting :1;
   bool stamp :1;
   bool orders_seen :1;
+  bool own_waiting :1;
 } _EndpointState__isset;
 
 class EndpointState : public virtual ::apache::thrift::TBase {
@@ -340,7 +341,8 @@
                   data_centre(),
                   accepting(0),
                   stamp(0),
-                  orders_seen(0) {
+                  orders_seen(0),
+                  own_waiting(0) {
   }
 
   virtual ~EndpointState() noexcept;
@@ -352,6 +354,7 @@
   bool accepting;
   int64_t stamp;
   int64_t orders_seen;
+  int32_t own_waiting;
 
   _EndpointState__isset __isset;
 
@@ -371,6 +374,8 @@
 
   void __set_orders_seen(const int64_t val);
 
+  void __set_own_waiting(const int32_t val);
+
   bool operator == (const EndpointState & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -389,6 +394,8 @@
       return false;
     if (!(orders_seen == rhs.orders_seen))
       return false;
+    if (!(own_waiting == rhs.own_waiting))
+      return false;
     return true;
   }
   bool operator != (const EndpointState &rhs) const {
--- a/src/libalmond/wire/run.thrift
+++ b/src/libalmond/wire/run.thrift
@@ -11,6 +11,6 @@
 struct RunStop { 1: string endpoint, 2: RunKey key }
 struct EndpointState {
   1: string endpoint, 2: string service_name, 3: string data_centre, 4: Room total, 5: Room unused,
-  6: bool accepting, 7: i64 stamp, 8: i64 orders_seen
+  6: bool accepting, 7: i64 stamp, 8: i64 orders_seen, 9: i32 own_waiting
 }
 struct RunEnd { 1: string endpoint, 2: RunKey key, 3: i8 kind, 4: i64 ran_ms }
--- a/src/libalmond/wire/run_codec.cc
+++ b/src/libalmond/wire/run_codec.cc
@@ -105,6 +105,7 @@
   result.accepting = state.accepting;
   result.stamp = ToWire(state.stamp);
   result.orders_seen = static_cast<std::int64_t>(state.orders_seen);
+  result.own_waiting = static_cast<std::int32_t>(state.own_waiting);
   return MakeFrame(frame_type::endpoint_state, result);
 }
 
@@ -118,6 +119,7 @@
   state.accepting = encoded.accepting;
   state.stamp = NumberFromWire<agent_stamp>(encoded.stamp);
   state.orders_seen = static_cast<std::uint64_t>(encoded.orders_seen);
+  state.own_waiting = CountFromWire(encoded.own_waiting);
   return state;
 }
 
