Keep idle connections to endpoints open, and let jobs wait for the first agents

The limit of a request stayed on its connection, so that each connection without requests for 40 ms was closed; before, 250 ms had the same effect. Restarted entries refused jobs until their agents had dialled.

Change: a connection gets a limit of 60 s while it has no request; the new test 'idle for longer than a request's limit' failed before (2 connections).

--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -44,6 +44,7 @@
       metrics_(metrics),
       endpoints_(endpoints),
       hooks_(std::move(callbacks)),
+      started_(clock.SteadyNow()),
       admission_(clock),
       complete_(metrics.Counter("almond_jobs_total", "outcome=\"complete\"")),
       failed_(metrics.Counter("almond_jobs_total", "outcome=\"failed\"")),
@@ -124,6 +125,8 @@
 
 std::optional<job_answer> parallel_job_controller::Refusal(
     const route& rule, const job_request& request, milliseconds chain) {
+  const bool learning = clock_.SteadyNow() - started_ < kLearningPeriod;
+  if (!endpoints_.Serves(rule.service) && learning) return std::nullopt;
   if (!endpoints_.Serves(rule.service)) {
     return job_answer{job_outcome::unavailable, refusal_reason::no_endpoint,
                       kRetryAfterUnknown};
--- a/src/libalmond/controllers/entry/parallel_job_controller.h
+++ b/src/libalmond/controllers/entry/parallel_job_controller.h
@@ -35,6 +35,9 @@
   /// Step of the run number after an endpoint refused a run as superseded: an
   /// earlier try at another entry has used higher numbers.
   static constexpr std::uint32_t kRunStep = 16;
+  /// Time after the start in which the entry may not have heard of its agents
+  /// yet; jobs wait for them instead of being refused.
+  static constexpr milliseconds kLearningPeriod{800};
   /// Longest time for which a refused caller is told to stay away, if the
   /// expected wait is not known.
   static constexpr milliseconds kRetryAfterUnknown{1000};
@@ -134,6 +137,7 @@
   metrics_registry& metrics_;
   endpoint_pool& endpoints_;
   hooks hooks_;
+  steady_time started_;
   job_admission admission_;
   run_queue queue_;
   std::unordered_map<job_id, std::unique_ptr<job>> jobs_;
--- a/src/libalmond/net/http_pool.cc
+++ b/src/libalmond/net/http_pool.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr ev_ssize_t kMaxResponseBytes = ev_ssize_t{4} << 20U;
+// Longest time for which a connection without requests is kept.
+constexpr timeval kIdleTimeout = {60, 0};
 
 }  // namespace
 
@@ -125,6 +127,8 @@
              [this, alive = alive_, connection, reusable,
               hook = std::move(hook), result = std::move(result)] {
                if (reusable && *alive) {
+                 // The limit of the last request also ends idle connections.
+                 evhttp_connection_set_timeout_tv(connection, &kIdleTimeout);
                  idle_.push_back(connection);
                } else {
                  evhttp_connection_free(connection);
--- a/src/libalmond/net/peer_dialer.cc
+++ b/src/libalmond/net/peer_dialer.cc
@@ -71,7 +71,7 @@
 }
 
 void peer_dialer::Redial() {
-  redial_timer_ = loop_.After(kRedialDelay, [this] { Dial(); });
+  redial_timer_ = loop_.After(limits_.redial_delay, [this] { Dial(); });
 }
 
 void peer_dialer::OnConnected(int descriptor) {
--- a/src/libalmond/net/peer_dialer.h
+++ b/src/libalmond/net/peer_dialer.h
@@ -12,7 +12,6 @@
 /// Keeps a connection to one address: dials, and dials again after each end.
 class peer_dialer {
  public:
-  static constexpr milliseconds kRedialDelay{200};
   /// Longest time of a connect, unless the link's silence limit is shorter.
   static constexpr milliseconds kConnectTimeout{1000};
 
--- a/src/libalmond/net/peer_link.h
+++ b/src/libalmond/net/peer_link.h
@@ -19,6 +19,8 @@
   milliseconds ping_period{1000};
   /// Time without a byte from the peer after which the link is given up.
   milliseconds silence_limit{3000};
+  /// Time from the end of a link to the next attempt to open it.
+  milliseconds redial_delay{200};
 };
 
 /// A connection between two processes of the system that carries frames. Finds
--- a/tests/entry_jobs/parallel_job_controller_test.cc
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -207,11 +207,23 @@
 
 TEST_CASE_METHOD(parallel_job_fixture,
                  "parallel job / no endpoint known / refused at once") {
+  clock_.Advance(parallel_job_controller::kLearningPeriod);
   Submit();
   REQUIRE(answers_.size() == 1);
   CHECK(answers_[0].reason == refusal_reason::no_endpoint);
 }
 
+// Guards against refusals by a restarted entry that its agents are just
+// dialling.
+TEST_CASE_METHOD(
+    parallel_job_fixture,
+    "parallel job / entry has just started / waits for endpoints") {
+  Submit();
+  CHECK(answers_.empty());
+  Announce(kLink, "e");
+  CHECK(starts_.size() == 1);
+}
+
 TEST_CASE_METHOD(parallel_job_fixture,
                  "parallel job / step after another / starts when that ends") {
   Announce(kLink, "e");
--- a/tests/net/http_pool_test.cc
+++ b/tests/net/http_pool_test.cc
@@ -1,8 +1,13 @@
 #include "libalmond/net/http_pool.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 
 #include "libalmond/net/http_server.h"
+#include "libalmond/net/socket_util.h"
 
 namespace almond {
 namespace {
@@ -52,6 +57,61 @@
         std::vector<http_call_outcome>(20, http_call_outcome::answered));
 }
 
+/// A server that answers each request and counts its connections.
+class counting_server {
+ public:
+  explicit counting_server(event_loop& loop)
+      : listener_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    const sockaddr_in raw = ToSockaddr(kAnyPort);
+    bind(listener_, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw));
+    listen(listener_, 8);
+    poll_ = loop.Every(milliseconds(1), [this] { Serve(); });
+  }
+  ~counting_server() {
+    for (const int descriptor : accepted_) close(descriptor);
+    close(listener_);
+  }
+  counting_server(const counting_server&) = delete;
+  counting_server& operator=(const counting_server&) = delete;
+  socket_address Address() const { return {kAnyPort.ip, BoundPort(listener_)}; }
+  std::size_t Connections() const { return accepted_.size(); }
+
+ private:
+  void Serve() {
+    const int added = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
+    if (added >= 0) accepted_.push_back(added);
+    static const std::string kAnswer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (const int descriptor : accepted_) {
+      std::array<char, 4096> buffer{};
+      if (recv(descriptor, buffer.data(), buffer.size(), 0) > 0) {
+        send(descriptor, kAnswer.data(), kAnswer.size(), MSG_NOSIGNAL);
+      }
+    }
+  }
+
+  int listener_;
+  std::vector<int> accepted_;
+  event_handle poll_;
+};
+
+// Guards against a new connection for each request after a pause: the limit of
+// a request must not end its connection later.
+TEST_CASE_METHOD(http_pool_fixture,
+                 "http pool / idle for longer than a request's limit / "
+                 "connection kept") {
+  const counting_server server(loop_);
+  pool_ = std::make_unique<http_pool>(loop_, clock_, server.Address());
+  for (int i = 0; i < 2; ++i) {
+    Send("/", milliseconds(40));
+    loop_.Run();
+    const auto wake = loop_.After(milliseconds(120), [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+  CHECK(results_.at(1) == http_call_outcome::answered);
+  CHECK(server.Connections() == 1);
+}
+
 // Guards against orders that wait behind one that is never answered.
 TEST_CASE_METHOD(http_pool_fixture,
                  "http pool / stalled requests / others pass, they end as "
