Withdraw an order that waits at an agent when there is room elsewhere

Change: an entry that sees room withdraws one such order at a time; the agent gives it back only if it still waits. Orders may wait 150 ms.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -198,6 +198,17 @@
   BeginStop(key);
 }
 
+void run_controller::Withdraw(link_id link, const run_key& key) {
+  const auto removed = std::erase_if(waiting_, [&](const auto& order) {
+    if (order.start.key != key || order.link != link) return false;
+    waiting_cpu_milli_ -= order.start.needed.cpu_milli;
+    return true;
+  });
+  if (removed == 0) return;
+  hooks_.on_end(link, {endpoint_.id, key, run_end_kind::not_run});
+  Changed();
+}
+
 void run_controller::LinkClosed(link_id link) {
   std::erase_if(waiting_, [&](const auto& order) {
     if (order.link != link) return false;
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -92,8 +92,8 @@
   /// A renewal that was not even answered as lost by now is forgotten.
   static constexpr milliseconds kRenewalLost{1000};
   /// An order that has waited for room so long goes back to its entry, which
-  /// may know a better place by then.
-  static constexpr milliseconds kMaxWait{60};
+  /// withdraws it earlier if it knows a better place.
+  static constexpr milliseconds kMaxWait{150};
   /// Starts of one entry that wait at a time. More would only be refused to
   /// each other's advantage: every entry would order each piece of room.
   static constexpr std::size_t kMaxWaitingPerEntry = 1;
@@ -138,6 +138,8 @@
   /// Starts a run, lets it wait for room, or answers that it was not run.
   void Start(link_id link, const run_start& start);
   void Stop(link_id link, const run_key& key);
+  /// Gives an order back that still waits for room.
+  void Withdraw(link_id link, const run_key& key);
   /// Stops what the entry of an ended link has started.
   void LinkClosed(link_id link);
   /// Accepts no further starts.
--- a/src/libalmond/controllers/entry/endpoint_pool.cc
+++ b/src/libalmond/controllers/entry/endpoint_pool.cc
@@ -32,8 +32,12 @@
 
 std::optional<endpoint_key> endpoint_pool::Choose(
     const placement_request& request) {
-  const auto at_once = ChooseWithin(request, false);
-  return at_once ? at_once : ChooseWithin(request, true);
+  return ChooseWithin(request, false);
+}
+
+std::optional<endpoint_key> endpoint_pool::ChooseToWait(
+    const placement_request& request) {
+  return ChooseWithin(request, true);
 }
 
 std::optional<endpoint_key> endpoint_pool::ChooseWithin(
--- a/src/libalmond/controllers/entry/endpoint_pool.h
+++ b/src/libalmond/controllers/entry/endpoint_pool.h
@@ -70,9 +70,10 @@
   void Update(link_id link, const endpoint_state& state);
   void RemoveLink(link_id link);
 
-  /// @returns the best endpoint with room; if there is none, the best one at
-  ///   whose agent an order may wait; or nothing
+  /// @returns the best endpoint with room, or nothing
   std::optional<endpoint_key> Choose(const placement_request& request);
+  /// @returns the best endpoint at whose agent an order may wait, or nothing
+  std::optional<endpoint_key> ChooseToWait(const placement_request& request);
   /// Takes the room of a run that is about to be ordered.
   /// @returns the number of the order on its link, and the stamp to send
   std::pair<std::uint64_t, agent_stamp> Place(const endpoint_key& key,
--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -156,6 +156,7 @@
                                               const endpoint_state& state) {
   endpoints_.Update(link, state);
   Dispatch();
+  WithdrawWaiting();
 }
 
 void parallel_job_controller::OnRunEnd(link_id link, const run_end& end) {
@@ -326,6 +327,39 @@
   dispatching_ = false;
 }
 
+void parallel_job_controller::WithdrawWaiting() {
+  // Room that is left after all queued tasks were offered it.
+  std::map<service_id, std::int64_t> too_large;
+  for (auto position = ordered_to_wait_.begin();
+       position != ordered_to_wait_.end();) {
+    const waiting_task waiting = *position;
+    job* entry = Find(waiting.job);
+    task* waits = entry == nullptr
+                      ? nullptr
+                      : &entry->steps[waiting.step].tasks[waiting.index];
+    if (waits == nullptr || waits->phase != task_phase::placed ||
+        !waits->waits || waits->withdrawn) {
+      position = ordered_to_wait_.erase(position);
+      continue;
+    }
+    ++position;
+    const job_step& plan = entry->steps[waiting.step].plan;
+    const auto limit = too_large.find(entry->service);
+    if (limit != too_large.end() && plan.needed.cpu_milli >= limit->second) {
+      continue;
+    }
+    const auto better = endpoints_.Choose(
+        {entry->service, plan.needed, plan.estimate, waits->failed_at});
+    // One at a time for a service, as each would choose the same room.
+    too_large[entry->service] = better ? 0 : plan.needed.cpu_milli;
+    if (!better) continue;
+    waits->withdrawn = true;
+    hooks_.send(waits->place.link, run_withdraw{waits->place.endpoint,
+                                                {waiting.job, 0, waiting.step,
+                                                 waiting.index, waits->run}});
+  }
+}
+
 bool parallel_job_controller::TryPlace(
     const waiting_task& waiting,
     std::map<service_id, std::int64_t>& too_large) {
@@ -336,12 +370,17 @@
     return false;
   }
   task& placed = part.tasks[waiting.index];
-  const auto place = endpoints_.Choose(
-      {entry.service, part.plan.needed, part.plan.estimate, placed.failed_at});
+  const placement_request request{entry.service, part.plan.needed,
+                                  part.plan.estimate, placed.failed_at};
+  auto place = endpoints_.Choose(request);
+  placed.waits = !place;
+  placed.withdrawn = false;
+  if (!place) place = endpoints_.ChooseToWait(request);
   if (!place) {
     too_large[entry.service] = part.plan.needed.cpu_milli;
     return false;
   }
+  if (placed.waits) ordered_to_wait_.insert(waiting);
   placed.phase = task_phase::placed;
   placed.place = *place;
   ++placed.run;
--- a/src/libalmond/controllers/entry/parallel_job_controller.h
+++ b/src/libalmond/controllers/entry/parallel_job_controller.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -87,6 +88,8 @@
     std::uint32_t run = 0;
     std::uint32_t failures = 0;
     endpoint_key place;
+    bool waits = false;  ///< ordered where there was no room at once
+    bool withdrawn = false;
     steady_time doubt_end;
     std::vector<endpoint_id> failed_at;
   };
@@ -119,6 +122,7 @@
   void Dequeue(job& entry);
   void MarkBegun(job& entry);
   void Dispatch();
+  void WithdrawWaiting();
   /// @param too_large least processor need for which a service has no room
   bool TryPlace(const waiting_task& waiting,
                 std::map<service_id, std::int64_t>& too_large);
@@ -142,6 +146,8 @@
   run_queue queue_;
   std::unordered_map<job_id, std::unique_ptr<job>> jobs_;
   std::map<service_id, std::int64_t> queued_core_ms_;
+  /// Tasks that were ordered where there was no room at once.
+  std::set<waiting_task> ordered_to_wait_;
   caller_id last_caller_;
   bool dispatching_ = false;
   counter& complete_;
--- a/src/libalmond/core/run_messages.h
+++ b/src/libalmond/core/run_messages.h
@@ -61,6 +61,13 @@
   run_key key;
 };
 
+/// Entry to agent: give a start back as not run if it still waits for room;
+/// nothing is done otherwise.
+struct run_withdraw {
+  endpoint_id endpoint;
+  run_key key;
+};
+
 /// Agent to entry: an endpoint as of now; repeated each kAnnouncePeriod.
 struct endpoint_state {
   endpoint_id endpoint;
@@ -84,7 +91,7 @@
 };
 
 /// A message of an entry about runs.
-using entry_run_message = std::variant<run_start, run_stop>;
+using entry_run_message = std::variant<run_start, run_stop, run_withdraw>;
 /// A message of an agent about runs.
 using agent_run_message = std::variant<endpoint_state, run_end>;
 
--- a/src/libalmond/processes/run_agent.cc
+++ b/src/libalmond/processes/run_agent.cc
@@ -142,6 +142,11 @@
     if (found != endpoints_.end()) found->second->Stop(link, stop->key);
     return;
   }
+  if (const auto* withdraw = std::get_if<run_withdraw>(&message)) {
+    const auto found = endpoints_.find(withdraw->endpoint);
+    if (found != endpoints_.end()) found->second->Withdraw(link, withdraw->key);
+    return;
+  }
   const auto& start = std::get<run_start>(message);
   orders_seen_[link] = start.order;
   const auto found = endpoints_.find(start.endpoint);
--- a/src/libalmond/wire/gen/run_types.cpp
+++ b/src/libalmond/wire/gen/run_types.cpp
@@ -748,6 +748,129 @@
 }
 
 
+RunWithdraw::~RunWithdraw() noexcept {
+}
+
+
+void RunWithdraw::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void RunWithdraw::__set_key(const RunKey& val) {
+  this->key = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunWithdraw& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunWithdraw::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunWithdraw::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunWithdraw");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunWithdraw &a, RunWithdraw &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.key, b.key);
+  swap(a.__isset, b.__isset);
+}
+
+RunWithdraw::RunWithdraw(const RunWithdraw& other16) {
+  endpoint = other16.endpoint;
+  key = other16.key;
+  __isset = other16.__isset;
+}
+RunWithdraw::RunWithdraw(RunWithdraw&& other17) noexcept {
+  endpoint = std::move(other17.endpoint);
+  key = std::move(other17.key);
+  __isset = other17.__isset;
+}
+RunWithdraw& RunWithdraw::operator=(const RunWithdraw& other18) {
+  endpoint = other18.endpoint;
+  key = other18.key;
+  __isset = other18.__isset;
+  return *this;
+}
+RunWithdraw& RunWithdraw::operator=(RunWithdraw&& other19) noexcept {
+  endpoint = std::move(other19.endpoint);
+  key = std::move(other19.key);
+  __isset = other19.__isset;
+  return *this;
+}
+void RunWithdraw::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunWithdraw(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "key=" << to_string(key);
+  out << ")";
+}
+
+
 EndpointState::~EndpointState() noexcept {
 }
 
@@ -959,54 +1082,54 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other16) {
-  endpoint = other16.endpoint;
-  service_name = other16.service_name;
-  data_centre = other16.data_centre;
-  total = other16.total;
-  unused = other16.unused;
-  accepting = other16.accepting;
-  stamp = other16.stamp;
-  orders_seen = other16.orders_seen;
-  own_waiting = other16.own_waiting;
-  __isset = other16.__isset;
+EndpointState::EndpointState(const EndpointState& other20) {
+  endpoint = other20.endpoint;
+  service_name = other20.service_name;
+  data_centre = other20.data_centre;
+  total = other20.total;
+  unused = other20.unused;
+  accepting = other20.accepting;
+  stamp = other20.stamp;
+  orders_seen = other20.orders_seen;
+  own_waiting = other20.own_waiting;
+  __isset = other20.__isset;
 }
-EndpointState::EndpointState(EndpointState&& other17) noexcept {
-  endpoint = std::move(other17.endpoint);
-  service_name = std::move(other17.service_name);
-  data_centre = std::move(other17.data_centre);
-  total = std::move(other17.total);
-  unused = std::move(other17.unused);
-  accepting = other17.accepting;
-  stamp = other17.stamp;
-  orders_seen = other17.orders_seen;
-  own_waiting = other17.own_waiting;
-  __isset = other17.__isset;
+EndpointState::EndpointState(EndpointState&& other21) noexcept {
+  endpoint = std::move(other21.endpoint);
+  service_name = std::move(other21.service_name);
+  data_centre = std::move(other21.data_centre);
+  total = std::move(other21.total);
+  unused = std::move(other21.unused);
+  accepting = other21.accepting;
+  stamp = other21.stamp;
+  orders_seen = other21.orders_seen;
+  own_waiting = other21.own_waiting;
+  __isset = other21.__isset;
 }
-EndpointState& EndpointState::operator=(const EndpointState& other18) {
-  endpoint = other18.endpoint;
-  service_name = other18.service_name;
-  data_centre = other18.data_centre;
-  total = other18.total;
-  unused = other18.unused;
-  accepting = other18.accepting;
-  stamp = other18.stamp;
-  orders_seen = other18.orders_seen;
-  own_waiting = other18.own_waiting;
-  __isset = other18.__isset;
+EndpointState& EndpointState::operator=(const EndpointState& other22) {
+  endpoint = other22.endpoint;
+  service_name = other22.service_name;
+  data_centre = other22.data_centre;
+  total = other22.total;
+  unused = other22.unused;
+  accepting = other22.accepting;
+  stamp = other22.stamp;
+  orders_seen = other22.orders_seen;
+  own_waiting = other22.own_waiting;
+  __isset = other22.__isset;
   return *this;
 }
-EndpointState& EndpointState::operator=(EndpointState&& other19) noexcept {
-  endpoint = std::move(other19.endpoint);
-  service_name = std::move(other19.service_name);
-  data_centre = std::move(other19.data_centre);
-  total = std::move(other19.total);
-  unused = std::move(other19.unused);
-  accepting = other19.accepting;
-  stamp = other19.stamp;
-  orders_seen = other19.orders_seen;
-  own_waiting = other19.own_waiting;
-  __isset = other19.__isset;
+EndpointState& EndpointState::operator=(EndpointState&& other23) noexcept {
+  endpoint = std::move(other23.endpoint);
+  service_name = std::move(other23.service_name);
+  data_centre = std::move(other23.data_centre);
+  total = std::move(other23.total);
+  unused = std::move(other23.unused);
+  accepting = other23.accepting;
+  stamp = other23.stamp;
+  orders_seen = other23.orders_seen;
+  own_waiting = other23.own_waiting;
+  __isset = other23.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -1151,34 +1274,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RunEnd::RunEnd(const RunEnd& other20) {
-  endpoint = other20.endpoint;
-  key = other20.key;
-  kind = other20.kind;
-  ran_ms = other20.ran_ms;
-  __isset = other20.__isset;
-}
-RunEnd::RunEnd(RunEnd&& other21) noexcept {
-  endpoint = std::move(other21.endpoint);
-  key = std::move(other21.key);
-  kind = other21.kind;
-  ran_ms = other21.ran_ms;
-  __isset = other21.__isset;
-}
-RunEnd& RunEnd::operator=(const RunEnd& other22) {
-  endpoint = other22.endpoint;
-  key = other22.key;
-  kind = other22.kind;
-  ran_ms = other22.ran_ms;
-  __isset = other22.__isset;
+RunEnd::RunEnd(const RunEnd& other24) {
+  endpoint = other24.endpoint;
+  key = other24.key;
+  kind = other24.kind;
+  ran_ms = other24.ran_ms;
+  __isset = other24.__isset;
+}
+RunEnd::RunEnd(RunEnd&& other25) noexcept {
+  endpoint = std::move(other25.endpoint);
+  key = std::move(other25.key);
+  kind = other25.kind;
+  ran_ms = other25.ran_ms;
+  __isset = other25.__isset;
+}
+RunEnd& RunEnd::operator=(const RunEnd& other26) {
+  endpoint = other26.endpoint;
+  key = other26.key;
+  kind = other26.kind;
+  ran_ms = other26.ran_ms;
+  __isset = other26.__isset;
   return *this;
 }
-RunEnd& RunEnd::operator=(RunEnd&& other23) noexcept {
-  endpoint = std::move(other23.endpoint);
-  key = std::move(other23.key);
-  kind = other23.kind;
-  ran_ms = other23.ran_ms;
-  __isset = other23.__isset;
+RunEnd& RunEnd::operator=(RunEnd&& other27) noexcept {
+  endpoint = std::move(other27.endpoint);
+  key = std::move(other27.key);
+  kind = other27.kind;
+  ran_ms = other27.ran_ms;
+  __isset = other27.__isset;
   return *this;
 }
 void RunEnd::printTo(std::ostream& out) const {
--- a/src/libalmond/wire/gen/run_types.h
+++ b/src/libalmond/wire/gen/run_types.h
@@ -29,6 +29,8 @@
 
 class RunStop;
 
+class RunWithdraw;
+
 class EndpointState;
 
 class RunEnd;
@@ -315,6 +317,57 @@
 
 std::ostream& operator<<(std::ostream& out, const RunStop& obj);
 
+typedef struct _RunWithdraw__isset {
+  _RunWithdraw__isset() : endpoint(false), key(false) {}
+  bool endpoint :1;
+  bool key :1;
+} _RunWithdraw__isset;
+
+class RunWithdraw : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunWithdraw(const RunWithdraw&);
+  RunWithdraw(RunWithdraw&&) noexcept;
+  RunWithdraw& operator=(const RunWithdraw&);
+  RunWithdraw& operator=(RunWithdraw&&) noexcept;
+  RunWithdraw() noexcept
+              : endpoint() {
+  }
+
+  virtual ~RunWithdraw() noexcept;
+  std::string endpoint;
+  RunKey key;
+
+  _RunWithdraw__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_key(const RunKey& val);
+
+  bool operator == (const RunWithdraw & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    return true;
+  }
+  bool operator != (const RunWithdraw &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunWithdraw & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunWithdraw &a, RunWithdraw &b);
+
+std::ostream& operator<<(std::ostream& out, const RunWithdraw& obj);
+
 typedef struct _EndpointState__isset {
   _EndpointState__isset() : endpoint(false), service_name(false), data_centre(false), total(false), unused(false), accepting(false), stamp(false), orders_seen(false), own_waiting(false) {}
   bool endpoint :1;
--- a/src/libalmond/wire/run.thrift
+++ b/src/libalmond/wire/run.thrift
@@ -9,6 +9,7 @@
   6: i64 heard, 7: i64 order, 8: i64 slack_ms, 9: bool begun
 }
 struct RunStop { 1: string endpoint, 2: RunKey key }
+struct RunWithdraw { 1: string endpoint, 2: RunKey key }
 struct EndpointState {
   1: string endpoint, 2: string service_name, 3: string data_centre, 4: Room total, 5: Room unused,
   6: bool accepting, 7: i64 stamp, 8: i64 orders_seen, 9: i32 own_waiting
--- a/src/libalmond/wire/run_codec.cc
+++ b/src/libalmond/wire/run_codec.cc
@@ -19,6 +19,7 @@
 enum class frame_type : std::uint8_t {
   run_start = 112,
   run_stop = 113,
+  run_withdraw = 114,
   endpoint_state = 120,
   run_end = 121,
 };
@@ -95,6 +96,17 @@
   return {endpoint_id(std::move(encoded.endpoint)), Decode(encoded.key)};
 }
 
+frame Encode(const run_withdraw& withdraw) {
+  wire::RunWithdraw result;
+  result.endpoint = withdraw.endpoint.Value();
+  result.key = Encode(withdraw.key);
+  return MakeFrame(frame_type::run_withdraw, result);
+}
+
+run_withdraw Decode(wire::RunWithdraw& encoded) {
+  return {endpoint_id(std::move(encoded.endpoint)), Decode(encoded.key)};
+}
+
 frame Encode(const endpoint_state& state) {
   wire::EndpointState result;
   result.endpoint = state.endpoint.Value();
@@ -149,6 +161,11 @@
     if (!wire::FromBytes(encoded.payload, stop)) return std::nullopt;
     return Decode(stop);
   }
+  if (encoded.type == static_cast<std::uint8_t>(frame_type::run_withdraw)) {
+    wire::RunWithdraw withdraw;
+    if (!wire::FromBytes(encoded.payload, withdraw)) return std::nullopt;
+    return Decode(withdraw);
+  }
   return std::nullopt;
 }
 
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -140,6 +140,21 @@
   CHECK(ends_[0].second.kind == run_end_kind::not_run);
 }
 
+// Guards against a withdrawal that crosses the start and ends the run.
+TEST_CASE_METHOD(
+    run_controller_fixture,
+    "run controller / withdrawn / only a waiting order goes back") {
+  controller_.Start(kEntry, Order(0, 4000));
+  controller_.Start(kOtherEntry, Order(1, 400));
+  controller_.Withdraw(kEntry, Order(0).key);
+  CHECK(ends_.empty());
+  CHECK(endpoint_.stops.empty());
+  controller_.Withdraw(kOtherEntry, Order(1).key);
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::not_run);
+  CHECK(UnusedCpu() == 0);
+}
+
 TEST_CASE_METHOD(run_controller_fixture,
                  "run controller / entry of a waiting order is gone / never "
                  "started") {
--- a/tests/entry_jobs/parallel_job_controller_test.cc
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -21,6 +21,9 @@
               {[this](link_id link, const entry_run_message& message) {
                 if (const auto* start = std::get_if<run_start>(&message)) {
                   starts_.emplace_back(link, *start);
+                } else if (const auto* withdraw =
+                               std::get_if<run_withdraw>(&message)) {
+                  withdrawn_.push_back(withdraw->key);
                 } else {
                   stops_.emplace_back(link, std::get<run_stop>(message));
                 }
@@ -75,6 +78,7 @@
   endpoint_pool pool_;
   std::vector<std::pair<link_id, run_start>> starts_;
   std::vector<std::pair<link_id, run_stop>> stops_;
+  std::vector<run_key> withdrawn_;
   std::vector<job_answer> answers_;
   route rule_;
   parallel_job_controller jobs_;
@@ -213,6 +217,24 @@
   CHECK(answers_[0].reason == refusal_reason::no_endpoint);
 }
 
+// The load: nearly all room in use. A task that waits at one agent must not
+// miss room at another.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / order waits and room appears elsewhere / "
+                 "withdrawn once and placed there") {
+  Announce(kLink, "e", 0);
+  Submit();
+  REQUIRE(starts_.size() == 1);
+  Announce(kOtherLink, "f", 1000);
+  CHECK(withdrawn_ == std::vector<run_key>{starts_[0].second.key});
+  Announce(kOtherLink, "f", 1000);
+  CHECK(withdrawn_.size() == 1);
+  CHECK(starts_.size() == 1);
+  End(0, run_end_kind::not_run);
+  REQUIRE(starts_.size() == 2);
+  CHECK(starts_[1].second.endpoint == endpoint_id("f"));
+}
+
 // Guards against refusals by a restarted entry that its agents are just
 // dialling.
 TEST_CASE_METHOD(
