--- a/src/libalmond/core/run_messages.h
+++ b/src/libalmond/core/run_messages.h
@@ -100,8 +100,12 @@
 template <>
 struct std::hash<almond::run_key> {
   std::size_t operator()(const almond::run_key& key) const noexcept {
-    return std::hash<std::string>{}(key.job.Value()) * 31 + key.step * 1009 +
-           key.index * 17 + key.run;
+    std::size_t hash = std::hash<std::string>{}(key.job.Value());
+    constexpr std::size_t kFactor = 31;
+    for (const std::size_t part : {key.step, key.index, key.run}) {
+      hash = hash * kFactor + part;
+    }
+    return hash;
   }
 };
 
--- a/src/libalmond/net/http_pool.cc
+++ b/src/libalmond/net/http_pool.cc
@@ -47,8 +47,9 @@
 
 http_pool::~http_pool() {
   *alive_ = false;
-  for (evhttp_connection* connection : idle_)
+  for (evhttp_connection* connection : idle_) {
     evhttp_connection_free(connection);
+  }
   for (const auto& open : calls_) {
     // Ends the call without its hook.
     evhttp_connection_set_closecb(open->connection, nullptr, nullptr);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -130,7 +130,7 @@
   json no_address = Announcement();
   no_address["address"] = "nowhere";
   const std::string body = GENERATE_COPY(
-      std::string("\xff\x00"), other_state.dump(), other_service.dump(),
+      std::string("\xff"), other_state.dump(), other_service.dump(),
       wrong_type.dump(), no_room.dump(), no_address.dump());
   const auto decoded = Call(body);
   REQUIRE(std::holds_alternative<http_response>(decoded));
