--- a/src/libalmond/core/run_messages.h
+++ b/src/libalmond/core/run_messages.h
@@ -100,12 +100,12 @@
 template <>
 struct std::hash<almond::run_key> {
   std::size_t operator()(const almond::run_key& key) const noexcept {
-    std::size_t hash = std::hash<std::string>{}(key.job.Value());
+    std::size_t result = std::hash<std::string>{}(key.job.Value());
     constexpr std::size_t kFactor = 31;
     for (const std::size_t part : {key.step, key.index, key.run}) {
-      hash = hash * kFactor + part;
+      result = result * kFactor + part;
     }
-    return hash;
+    return result;
   }
 };
 
--- a/tests/entry_jobs/endpoint_pool_test.cc
+++ b/tests/entry_jobs/endpoint_pool_test.cc
@@ -124,8 +124,9 @@
                  "endpoint pool / most endpoints look bad / none avoided") {
   for (const char* name : {"a", "b", "c"}) {
     Announce(name);
-    for (int i = 0; i < 5; ++i)
+    for (int i = 0; i < 5; ++i) {
       Run(name, run_end_kind::failed, milliseconds(1));
+    }
   }
   CHECK(ChosenOf("a", 100) > 0);
   CHECK(ChosenOf("b", 100) > 0);
--- a/tests/net/http_pool_test.cc
+++ b/tests/net/http_pool_test.cc
@@ -63,8 +63,9 @@
   explicit counting_server(event_loop& loop)
       : listener_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
     const sockaddr_in raw = ToSockaddr(kAnyPort);
-    bind(listener_, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw));
-    listen(listener_, 8);
+    REQUIRE(bind(listener_, reinterpret_cast<const sockaddr*>(&raw),
+                 sizeof(raw)) == 0);
+    REQUIRE(listen(listener_, 8) == 0);
     poll_ = loop.Every(milliseconds(1), [this] { Serve(); });
   }
   ~counting_server() {
@@ -80,12 +81,11 @@
   void Serve() {
     const int added = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
     if (added >= 0) accepted_.push_back(added);
-    static const std::string kAnswer =
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     for (const int descriptor : accepted_) {
       std::array<char, 4096> buffer{};
       if (recv(descriptor, buffer.data(), buffer.size(), 0) > 0) {
-        send(descriptor, kAnswer.data(), kAnswer.size(), MSG_NOSIGNAL);
+        send(descriptor, answer.data(), answer.size(), MSG_NOSIGNAL);
       }
     }
   }
