Put late tasks behind those in time, at entries and agents

Change: tasks that can meet their objective come first; of the late ones those of working jobs. A task counts as able to meet it with 1.3 times its estimate. A job of which every order went back as not run is refused as not run.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -96,10 +96,7 @@
 void run_controller::Wait(link_id link, const run_start& start) {
   waiting_.push_back({link, start, clock_.SteadyNow()});
   waiting_cpu_milli_ += start.needed.cpu_milli;
-  std::stable_sort(waiting_.begin(), waiting_.end(),
-                   [](const waiting_order& left, const waiting_order& right) {
-                     return left.Rank() < right.Rank();
-                   });
+  SortWaiting();
   // The least urgent ones go back if too many wait; one may wait in any case.
   while (waiting_.size() > 1 &&
          waiting_cpu_milli_ > endpoint_.total.cpu_milli) {
@@ -117,7 +114,16 @@
       [link](const waiting_order& order) { return order.link == link; }));
 }
 
+void run_controller::SortWaiting() {
+  std::stable_sort(waiting_.begin(), waiting_.end(),
+                   [now = clock_.SteadyNow()](const waiting_order& left,
+                                              const waiting_order& right) {
+                     return left.Rank(now) < right.Rank(now);
+                   });
+}
+
 void run_controller::StartWaiting() {
+  SortWaiting();
   while (!waiting_.empty() && Accepting() &&
          Unused().Holds(waiting_.front().start.needed)) {
     const waiting_order next = std::move(waiting_.front());
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -170,9 +171,13 @@
     link_id link;
     run_start start;
     steady_time arrived;
-    /// Orders of jobs that have begun come first, then the one that has to
-    /// begin first.
-    auto Rank() const { return std::pair(!start.begun, arrived + start.slack); }
+    /// Orders that can still meet their objective come first, by the time at
+    /// which they have to begin; then those of jobs that have begun.
+    auto Rank(steady_time now) const {
+      const steady_time latest = arrived + start.slack;
+      const bool late = latest < now;
+      return std::tuple(late, late && !start.begun, latest);
+    }
   };
 
   bool Accepting() const;
@@ -180,6 +185,7 @@
   void Refuse(link_id link, const run_start& start, const char* cause);
   void Order(link_id link, const run_start& start);
   void Wait(link_id link, const run_start& start);
+  void SortWaiting();
   void StartWaiting();
   std::size_t Waiting(link_id link) const;
   void RefuseWaiting(const char* cause);
--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -108,7 +108,9 @@
     added.plan = plan;
     added.tasks.resize(plan.count);
     added.open = plan.count;
-    added.latest_start = now + objective - plan.estimate;
+    added.latest_start =
+        now + objective -
+        std::chrono::duration_cast<duration>(plan.estimate * kEstimateMargin);
   }
   entry->open_steps = static_cast<std::uint32_t>(entry->steps.size());
   log_.Write("job_accepted", {{"job", request.id.Value()},
@@ -148,7 +150,7 @@
   log_.Write("caller_left",
              {{"job", id.Value()},
               {"age_ms", Milliseconds(clock_.SteadyNow() - entry->arrived)},
-              {"begun", entry->begun}});
+              {"begun", entry->possible_runs > 0}});
   End(id, {job_outcome::interrupted, refusal_reason::cancelled, std::nullopt});
 }
 
@@ -180,10 +182,13 @@
       TaskFailed(*entry, end.key, end.endpoint);
       break;
     case run_end_kind::superseded:
+      --entry->possible_runs;
       part.tasks[end.key.index].run += kRunStep;
       Again(*entry, end.key);
       break;
     case run_end_kind::not_run:
+      --entry->possible_runs;
+      [[fallthrough]];
     case run_end_kind::stopped:
     case run_end_kind::lost:
       LogRun("run_again", place, end.key,
@@ -224,7 +229,7 @@
     }
     // A job of which nothing has run is refused as soon as it cannot end in
     // time, while its caller can still act.
-    if (!entry->begun &&
+    if (entry->possible_runs == 0 &&
         now + entry->steps.front().plan.estimate > entry->deadline) {
       late.push_back(id);
       continue;
@@ -250,10 +255,11 @@
   while (!jobs_.empty()) {
     const job& entry = *jobs_.begin()->second;
     const job_answer answer =
-        entry.begun ? job_answer{job_outcome::interrupted,
-                                 refusal_reason::draining, std::nullopt}
-                    : job_answer{job_outcome::unavailable,
-                                 refusal_reason::draining, milliseconds(0)};
+        entry.possible_runs > 0
+            ? job_answer{job_outcome::interrupted, refusal_reason::draining,
+                         std::nullopt}
+            : job_answer{job_outcome::unavailable, refusal_reason::draining,
+                         milliseconds(0)};
     End(job_id(entry.request.id), answer);
   }
 }
@@ -278,7 +284,7 @@
   step& part = entry.steps[step_number];
   part.tasks[index].phase = task_phase::waiting;
   queue_.Add({entry.request.id, step_number, index}, part.latest_start,
-             entry.begun);
+             entry.working);
   queued_core_ms_[entry.service] += CoreMs(part.plan);
 }
 
@@ -287,16 +293,24 @@
     step& part = entry.steps[s];
     for (std::uint32_t i = 0; i < part.tasks.size(); ++i) {
       if (part.tasks[i].phase != task_phase::waiting) continue;
-      queue_.Remove({entry.request.id, s, i}, part.latest_start, entry.begun);
+      queue_.Remove({entry.request.id, s, i}, part.latest_start, entry.working);
       queued_core_ms_[entry.service] -= CoreMs(part.plan);
     }
   }
 }
 
-void parallel_job_controller::MarkBegun(job& entry) {
-  if (entry.begun) return;
+void parallel_job_controller::MarkWorking(job& entry) {
+  if (entry.working) return;
   wait_seconds_.Add(clock_.SteadyNow() - entry.arrived);
-  entry.begun = true;
+  Dequeue(entry);
+  entry.working = true;
+  for (std::uint32_t s = 0; s < entry.steps.size(); ++s) {
+    for (std::uint32_t i = 0; i < entry.steps[s].tasks.size(); ++i) {
+      if (entry.steps[s].tasks[i].phase == task_phase::waiting) {
+        Enqueue(entry, s, i);
+      }
+    }
+  }
 }
 
 void parallel_job_controller::Dispatch() {
@@ -307,23 +321,12 @@
   std::map<service_id, std::int64_t> too_large;
   queue_.Offer(clock_.SteadyNow(), [&](const waiting_task& waiting) {
     if (!TryPlace(waiting, too_large)) return false;
-    if (!Find(waiting.job)->begun) begun.push_back(waiting.job);
+    const job& placed = *Find(waiting.job);
+    const bool waits = placed.steps[waiting.step].tasks[waiting.index].waits;
+    if (!placed.working && !waits) begun.push_back(waiting.job);
     return true;
   });
-  for (const job_id& id : begun) {
-    job& entry = *Find(id);
-    if (entry.begun) continue;
-    // Its other tasks move up in the queue.
-    Dequeue(entry);
-    MarkBegun(entry);
-    for (std::uint32_t s = 0; s < entry.steps.size(); ++s) {
-      for (std::uint32_t i = 0; i < entry.steps[s].tasks.size(); ++i) {
-        if (entry.steps[s].tasks[i].phase == task_phase::waiting) {
-          Enqueue(entry, s, i);
-        }
-      }
-    }
-  }
+  for (const job_id& id : begun) MarkWorking(*Find(id));
   dispatching_ = false;
 }
 
@@ -384,6 +387,7 @@
   placed.phase = task_phase::placed;
   placed.place = *place;
   ++placed.run;
+  ++entry.possible_runs;
   queued_core_ms_[entry.service] -= CoreMs(part.plan);
   admission_.Placed(CoreMs(part.plan));
   placed_.Add();
@@ -395,7 +399,7 @@
   start.needed = part.plan.needed;
   start.slack = std::chrono::duration_cast<milliseconds>(part.latest_start -
                                                          clock_.SteadyNow());
-  start.begun = entry.begun;
+  start.begun = entry.working;
   std::tie(start.order, start.heard) =
       endpoints_.Place(*place, start.key, part.plan.needed, part.plan.estimate);
   LogRun("run_placed", *place, start.key,
@@ -412,6 +416,7 @@
 void parallel_job_controller::TaskDone(job& entry, const run_key& key) {
   step& part = entry.steps[key.step];
   part.tasks[key.index].phase = task_phase::done;
+  MarkWorking(entry);
   if (--part.open > 0) return;
   if (--entry.open_steps > 0) {
     ReleaseSteps(entry);
@@ -445,7 +450,7 @@
 }
 
 job_answer parallel_job_controller::TimeoutAnswer(const job& entry) const {
-  if (entry.begun) {
+  if (entry.possible_runs > 0) {
     return {job_outcome::timed_out, refusal_reason::deadline_running,
             std::nullopt};
   }
@@ -474,7 +479,7 @@
               {"reason", answer.outcome == job_outcome::complete
                              ? ""
                              : std::string(Name(answer.reason))},
-              {"begun", entry->begun},
+              {"begun", entry->possible_runs > 0},
               {"age_ms", Milliseconds(clock_.SteadyNow() - entry->arrived)}});
   for (const auto& [caller, on_answer] : entry->callers) on_answer(answer);
 }
--- a/src/libalmond/controllers/entry/parallel_job_controller.h
+++ b/src/libalmond/controllers/entry/parallel_job_controller.h
@@ -36,6 +36,9 @@
   /// Step of the run number after an endpoint refused a run as superseded: an
   /// earlier try at another entry has used higher numbers.
   static constexpr std::uint32_t kRunStep = 16;
+  /// Estimates are rough: a task counts as able to meet its objective only if
+  /// it could take so many times its estimate.
+  static constexpr double kEstimateMargin = 1.3;
   /// Time after the start in which the entry may not have heard of its agents
   /// yet; jobs wait for them instead of being refused.
   static constexpr milliseconds kLearningPeriod{800};
@@ -107,7 +110,11 @@
     std::uint32_t open_steps = 0;
     steady_time arrived;
     steady_time deadline;
-    bool begun = false;  ///< a run may have begun
+    /// Runs that were ordered and not refused as not run; while there is none,
+    /// the job has not run.
+    std::uint32_t possible_runs = 0;
+    /// A task was ordered where there was room, or is done.
+    bool working = false;
     std::vector<step> steps;
     std::map<caller_id, answer_hook> callers;
   };
@@ -120,7 +127,7 @@
   void ReleaseSteps(job& entry);
   void Enqueue(job& entry, std::uint32_t step_number, std::uint32_t index);
   void Dequeue(job& entry);
-  void MarkBegun(job& entry);
+  void MarkWorking(job& entry);
   void Dispatch();
   void WithdrawWaiting();
   /// @param too_large least processor need for which a service has no room
--- a/src/libalmond/controllers/entry/run_queue.h
+++ b/src/libalmond/controllers/entry/run_queue.h
@@ -22,11 +22,11 @@
 
 /// Tasks that wait for room, in the order in which they are placed. Answers a
 /// load that exceeds the room for a while, with short and long jobs mixed:
-/// - tasks of jobs that have started come first, as work already done is lost
-///   if the job does not end in time;
-/// - then tasks that can still meet their objective, by the latest time at
-///   which they have to start, which lets short jobs pass long ones;
-/// - then tasks that can no longer meet it, in the same order.
+/// - tasks that can still meet their objective come first, by the latest time
+///   at which they have to start, which lets short jobs pass long ones;
+/// - then tasks that can no longer meet it, so that these do not make the
+///   others late too: first those of jobs that have begun, as work already done
+///   is lost if the job does not end in its caller's time.
 class run_queue {
  public:
   /// A task of a lower priority counts as due so much later for each level.
@@ -52,6 +52,9 @@
   };
   using ranked_set = std::set<ranked_task>;
 
+  /// Offers the tasks from `first` on in one order.
+  void OfferInTime(const ranked_task& first,
+                   const std::function<bool(const waiting_task&)>& offer);
   static void OfferRange(ranked_set& set, ranked_set::iterator position,
                          ranked_set::iterator end,
                          const std::function<bool(const waiting_task&)>& offer);
--- a/src/libalmond/core/logging.h
+++ b/src/libalmond/core/logging.h
@@ -13,6 +13,10 @@
 /// @param program name printed in each line
 void ConfigureLogging(const std::string& program);
 
+/// The same with one JSON object a line, as decision_log writes them.
+/// @param process name of this process
+void ConfigureJsonLogging(const std::string& process);
+
 }  // namespace almond
 
 #endif  // ALMOND_CORE_LOGGING_H_
--- a/tests/entry_jobs/parallel_job_controller_test.cc
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -235,6 +235,21 @@
   CHECK(starts_[1].second.endpoint == endpoint_id("f"));
 }
 
+// Guards against a false "may have run" to callers who could come again.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / order gone back as not run / refused as not "
+                 "run at the end") {
+  Announce(kLink, "e", 0);
+  Submit(1, 1000, milliseconds(500));
+  REQUIRE(starts_.size() == 1);
+  jobs_.OnLinkClosed(kOtherLink);
+  Announce(kLink, "e", -16000);
+  End(0, run_end_kind::not_run);
+  Pass(milliseconds(440));
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].outcome == job_outcome::overloaded);
+}
+
 // Guards against refusals by a restarted entry that its agents are just
 // dialling.
 TEST_CASE_METHOD(
