Refuse a job that waits twice its objective without a start

Change: such a job is refused with a time to come again, once the orders that wait for it have come back as not run.

--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -103,6 +103,7 @@
       chain * rule.stretch +
       std::chrono::duration<double, std::milli>(
           rule.slack + run_queue::kPriorityStep * rule.priority));
+  entry->patience_end = now + kPatience * objective;
   for (const job_step& plan : request.steps) {
     step& added = entry->steps.emplace_back();
     added.plan = plan;
@@ -227,10 +228,7 @@
       late.push_back(id);
       continue;
     }
-    // A job of which nothing has run is refused as soon as it cannot end in
-    // time, while its caller can still act.
-    if (entry->possible_runs == 0 &&
-        now + entry->steps.front().plan.estimate > entry->deadline) {
+    if (GivesUp(*entry, now)) {
       late.push_back(id);
       continue;
     }
@@ -245,12 +243,42 @@
     }
   }
   for (const job_id& id : late) {
-    timed_out_.Add();
+    const bool ran = jobs_.at(id)->possible_runs > 0;
+    (ran ? timed_out_ : refused_).Add();
     End(id, TimeoutAnswer(*jobs_.at(id)));
   }
   Dispatch();
 }
 
+bool parallel_job_controller::GivesUp(job& entry, steady_time now) {
+  if (entry.working) return false;
+  const bool too_late =
+      now + entry.steps.front().plan.estimate > entry.deadline;
+  if (!too_late && now < entry.patience_end) return false;
+  entry.giving_up = true;
+  if (entry.possible_runs == 0) return true;
+  for (std::uint32_t s = 0; s < entry.steps.size(); ++s) {
+    for (std::uint32_t i = 0; i < entry.steps[s].tasks.size(); ++i) {
+      const task& ordered = entry.steps[s].tasks[i];
+      if (ordered.phase == task_phase::placed && ordered.waits &&
+          !ordered.withdrawn) {
+        Withdraw(entry, s, i);
+      }
+    }
+  }
+  return false;
+}
+
+void parallel_job_controller::Withdraw(job& entry, std::uint32_t step_number,
+                                       std::uint32_t index) {
+  task& ordered = entry.steps[step_number].tasks[index];
+  ordered.withdrawn = true;
+  hooks_.send(
+      ordered.place.link,
+      run_withdraw{ordered.place.endpoint,
+                   {entry.request.id, 0, step_number, index, ordered.run}});
+}
+
 void parallel_job_controller::EndAll() {
   while (!jobs_.empty()) {
     const job& entry = *jobs_.begin()->second;
@@ -301,6 +329,7 @@
 
 void parallel_job_controller::MarkWorking(job& entry) {
   if (entry.working) return;
+  entry.giving_up = false;
   wait_seconds_.Add(clock_.SteadyNow() - entry.arrived);
   Dequeue(entry);
   entry.working = true;
@@ -356,10 +385,7 @@
     // One at a time for a service, as each would choose the same room.
     too_large[entry->service] = better ? 0 : plan.needed.cpu_milli;
     if (!better) continue;
-    waits->withdrawn = true;
-    hooks_.send(waits->place.link, run_withdraw{waits->place.endpoint,
-                                                {waiting.job, 0, waiting.step,
-                                                 waiting.index, waits->run}});
+    Withdraw(*entry, waiting.step, waiting.index);
   }
 }
 
@@ -368,6 +394,7 @@
     std::map<service_id, std::int64_t>& too_large) {
   job& entry = *Find(waiting.job);
   step& part = entry.steps[waiting.step];
+  if (entry.giving_up) return false;
   const auto limit = too_large.find(entry.service);
   if (limit != too_large.end() && part.plan.needed.cpu_milli >= limit->second) {
     return false;
--- a/src/libalmond/controllers/entry/parallel_job_controller.h
+++ b/src/libalmond/controllers/entry/parallel_job_controller.h
@@ -39,6 +39,9 @@
   /// Estimates are rough: a task counts as able to meet its objective only if
   /// it could take so many times its estimate.
   static constexpr double kEstimateMargin = 1.3;
+  /// A job that has waited for so many times its objective without a start is
+  /// refused: newer jobs overtake it, so its caller does better to come again.
+  static constexpr int kPatience = 2;
   /// Time after the start in which the entry may not have heard of its agents
   /// yet; jobs wait for them instead of being refused.
   static constexpr milliseconds kLearningPeriod{800};
@@ -115,6 +118,9 @@
     std::uint32_t possible_runs = 0;
     /// A task was ordered where there was room, or is done.
     bool working = false;
+    steady_time patience_end;  ///< see kPatience
+    /// No more orders are sent; refused once all have gone back as not run.
+    bool giving_up = false;
     std::vector<step> steps;
     std::map<caller_id, answer_hook> callers;
   };
@@ -136,6 +142,9 @@
   void Again(job& entry, const run_key& key);
   void TaskDone(job& entry, const run_key& key);
   void TaskFailed(job& entry, const run_key& key, const endpoint_id& endpoint);
+  /// @returns true if the job is to be refused now
+  bool GivesUp(job& entry, steady_time now);
+  void Withdraw(job& entry, std::uint32_t step_number, std::uint32_t index);
   job_answer TimeoutAnswer(const job& entry) const;
   void End(const job_id& id, const job_answer& answer);
   void LogRun(const char* event, const endpoint_key& place, const run_key& key,
--- a/tests/entry_jobs/parallel_job_controller_test.cc
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -250,6 +250,46 @@
   CHECK(answers_[0].outcome == job_outcome::overloaded);
 }
 
+// The load: a tenth more work than room for seconds. A job that newer ones
+// overtake must not be held until its caller gives up.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / no start within twice its objective / refused "
+                 "with a time to come again") {
+  Announce(kLink, "e", -16000);
+  Submit(1, 1000, milliseconds(5000));
+  const milliseconds objective(100 * 16 / 10 + 60);
+  Pass(2 * objective - milliseconds(40));
+  CHECK(answers_.empty());
+  Pass(milliseconds(60));
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].outcome == job_outcome::overloaded);
+  CHECK(answers_[0].retry_after);
+}
+
+// Guards against a false "not run" while an order may still be started.
+TEST_CASE_METHOD(parallel_job_fixture,
+                 "parallel job / gives up while an order waits / withdrawn "
+                 "first, refused when it is back") {
+  Announce(kLink, "e", 0);
+  Submit(1, 1000, milliseconds(5000));
+  REQUIRE(starts_.size() == 1);
+  Pass(milliseconds(500));
+  CHECK(withdrawn_.size() == 1);
+  CHECK(answers_.empty());
+  SECTION("back as not run") {
+    End(0, run_end_kind::not_run);
+    Pass(milliseconds(20));
+    CHECK(starts_.size() == 1);
+    REQUIRE(answers_.size() == 1);
+    CHECK(answers_[0].outcome == job_outcome::overloaded);
+  }
+  SECTION("started in the meantime") {
+    End(0, run_end_kind::done);
+    REQUIRE(answers_.size() == 1);
+    CHECK(answers_[0].outcome == job_outcome::complete);
+  }
+}
+
 // Guards against refusals by a restarted entry that its agents are just
 // dialling.
 TEST_CASE_METHOD(
