Tell all replicas of a replaced one's address

The leader sent to the address of the process that was gone, and the new one reported its address only to a leader that it had heard.

Change: it reports to all replicas until the move is in the log. The new test 'replaced at another address' failed before (60 s without joining) and passes.

--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -175,11 +175,15 @@
     service_.MoveReplica(own, [](bool /*committed*/) {});
     return;
   }
-  const auto leader = socket_address::Parse(LeaderHttp());
-  if (!leader) return;
-  SendHttpRequest(
-      loop_, *leader, {"POST", "/v1/replicas", "", {}, EncodeMove(own)},
-      control_service::kTickPeriod, [](const http_call_result& /*result*/) {});
+  // A leader that does not know this address cannot make itself known, so all
+  // are told; others than the leader refuse.
+  for (const control_address& replica : Addresses()) {
+    if (replica.id == settings_.id || !replica.http) continue;
+    SendHttpRequest(loop_, *replica.http,
+                    {"POST", "/v1/replicas", "", {}, EncodeMove(own)},
+                    control_service::kTickPeriod,
+                    [](const http_call_result& /*result*/) {});
+  }
 }
 
 void control_process::CheckReplaced() {
--- a/tests/control/control_process_test.cc
+++ b/tests/control/control_process_test.cc
@@ -178,5 +178,28 @@
   CHECK(Call("GET", "")["digest"] == accepted["digest"]);
 }
 
+// Guards against a replacement that waits for messages of a leader, while the
+// leader sends them to the address of the process that is gone.
+TEST_CASE_METHOD(control_process_fixture,
+                 "control process / replaced at another address / joins and "
+                 "its address is known to all") {
+  Leader();
+  processes_.erase(2);
+  std::filesystem::remove_all(folder_ + "/" + replicas_[2].id);
+  control_settings settings{
+      replicas_[2].id, "test",           data_centre_id("nl-west-1"),
+      replicas_,       FreePort(),       FreePort(),
+      FreePort(),      folder_ + "/new", false};
+  held_.clear();
+  processes_[2] =
+      std::make_unique<control_process>(loop_, clock_, std::move(settings));
+  REQUIRE(processes_[2]->Start() == std::nullopt);
+  const auto moved = [this](std::size_t index) {
+    return processes_[index]->State().Moved().contains(replicas_[2].id);
+  };
+  RunUntil([&] { return moved(0) && moved(1) && moved(2); });
+  CHECK(processes_.size() == 3);
+}
+
 }  // namespace
 }  // namespace almond
