Report the synced copies of an entry and when a configuration is in force

Callers lost an acknowledged configuration, and the logs could not tell whether too few disks held it or whether it was distributed too slowly. Change: the line about an accepted version names the replicas that have synced it; a line names the voters after each change of the membership; the leader reports when a version is in force at all known processes. Gauges: almond_log_places, almond_log_voters, almond_log_synced_copies, almond_control_config_lagging_processes.

--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -124,8 +124,12 @@
   const config_version newest = machine_.Config().Newest();
   // Versions that are replayed from the log during the start are not reported.
   if (host_ && newest != before) {
+    const replica_status status = host_->Status();
     LOG(INFO) << "accepted configuration version " << newest << ", digest "
-              << machine_.Config().Digest(newest);
+              << machine_.Config().Digest(newest) << ", synced by "
+              << status.synced_copies << " of " << status.places
+              << " replicas";
+    accepted_at_ = clock_.SteadyNow();
   }
   return result;
 }
@@ -252,8 +256,33 @@
                   });
 }
 
+void control_process::ReportLaggingProcesses() {
+  const config_version newest = machine_.Config().Newest();
+  const std::vector<process_status> processes =
+      service_.Directory().Processes();
+  const auto lagging = std::count_if(
+      processes.begin(), processes.end(), [newest](const auto& process) {
+        // Agents without a configuration of their own report version 0.
+        const bool follows = process.heartbeat.role == process_role::entry ||
+                             process.heartbeat.version.Value() != 0;
+        return follows && process.heartbeat.version < newest;
+      });
+  metrics_.Gauge("almond_control_config_lagging_processes")
+      .Set(static_cast<double>(lagging));
+  if (!IsLeader()) accepted_at_.reset();
+  if (!accepted_at_ || lagging > 0 || processes.empty()) return;
+  LOG(INFO) << "configuration version " << newest << " is in force at all "
+            << processes.size() << " known processes, "
+            << std::chrono::duration_cast<milliseconds>(clock_.SteadyNow() -
+                                                        *accepted_at_)
+                   .count()
+            << " ms after it was accepted";
+  accepted_at_.reset();
+}
+
 void control_process::Tick() {
   service_.Tick();
+  ReportLaggingProcesses();
   UpdatePeerAddresses();
   ReportAddressChange();
   CheckReplaced();
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -77,6 +77,7 @@
   void UpdatePeerAddresses();
   void ReportAddressChange();
   void CheckReplaced();
+  void ReportLaggingProcesses();
   std::vector<replica_summary> Replicas() const;
 
   void OnAccept(const std::shared_ptr<peer_link>& link);
@@ -100,6 +101,9 @@
   std::unique_ptr<replica_host> host_;
   event_handle tick_timer_;
   std::function<void()> on_replaced_;
+  /// Time at which the newest configuration was accepted, until all known
+  /// processes have it in force.
+  std::optional<steady_time> accepted_at_;
 };
 
 }  // namespace almond
--- a/src/libalmond/processes/replica_host_implementation.cc
+++ b/src/libalmond/processes/replica_host_implementation.cc
@@ -203,6 +203,11 @@
   metrics_.Gauge("almond_log_file_bytes")
       .Set(static_cast<double>(storage_->LogBytes()));
   metrics_.Gauge("almond_log_leader").Set(replica_.IsLeader() ? 1 : 0);
+  metrics_.Gauge("almond_log_places").Set(static_cast<double>(status.places));
+  metrics_.Gauge("almond_log_voters")
+      .Set(static_cast<double>(status.members.size()));
+  metrics_.Gauge("almond_log_synced_copies")
+      .Set(static_cast<double>(status.synced_copies));
   if (status.role == replica_role::candidate &&
       status.term != candidate_term_) {
     candidate_term_ = status.term;
@@ -224,6 +229,15 @@
 
 void replica_host::implementation::ReportMembership(
     const replica_status& status) {
+  if (status.members != members_) {
+    std::string voters;
+    for (const auto& [id, incarnation] : status.members) {
+      voters += " " + id.Value() + "/" + std::to_string(incarnation.Value());
+    }
+    LOG(INFO) << "control log: " << status.members.size() << " voters of "
+              << status.places << " replicas:" << voters;
+    members_ = status.members;
+  }
   if (status.admitted != admitted_) {
     admitted_ = status.admitted;
     LOG(INFO) << "control log: incarnation " << status.incarnation
--- a/src/libalmond/processes/replica_host_implementation.h
+++ b/src/libalmond/processes/replica_host_implementation.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_PROCESSES_REPLICA_HOST_IMPLEMENTATION_H_
 #define ALMOND_PROCESSES_REPLICA_HOST_IMPLEMENTATION_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -63,6 +64,7 @@
   log_term candidate_term_ = 0;
   bool admitted_ = false;
   bool replaced_ = false;
+  std::map<replica_id, replica_incarnation> members_;
 };
 
 }  // namespace almond
--- a/src/libalmond/replication/replica.cc
+++ b/src/libalmond/replication/replica.cc
@@ -171,6 +171,21 @@
   return result;
 }
 
+std::size_t replica::SyncedCopies() const {
+  const membership& members = log_.MembersAt(commit_index_);
+  const bool synced_here =
+      members.IsVoter(settings_.self, settings_.incarnation) &&
+      persisted_index_ >= commit_index_;
+  std::size_t copies = synced_here ? 1 : 0;
+  for (const auto& [id, progress] : progress_) {
+    if (members.IsVoter(id, progress.Incarnation()) &&
+        progress.MatchIndex() >= commit_index_) {
+      ++copies;
+    }
+  }
+  return copies;
+}
+
 replica_status replica::Status() const {
   const membership& members = log_.MembersAt(commit_index_);
   replica_status status;
@@ -187,7 +202,9 @@
   status.admitted = members.IsVoter(settings_.self, settings_.incarnation);
   status.replaced = members.IsRetired(settings_.self, settings_.incarnation);
   status.members = members.voters;
+  status.places = members.places;
   if (IsLeader()) {
+    status.synced_copies = SyncedCopies();
     for (const auto& [id, progress] : progress_) {
       status.last_contact[id] = progress.LastContact();
     }
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -149,6 +149,9 @@
   template <typename Value, typename ValueOf>
   std::optional<Value> QuorumValue(Value own, ValueOf value_of) const;
 
+  /// @returns the number of voters that have synced the log up to the commit
+  ///   index, including this replica
+  std::size_t SyncedCopies() const;
   /// @returns true for a message of a retired incarnation, unless it is an
   ///   append_reply or snapshot_reply of a term that is not above this
   ///   replica's
--- a/src/libalmond/replication/replica_results.h
+++ b/src/libalmond/replication/replica_results.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_REPLICATION_REPLICA_RESULTS_H_
 #define ALMOND_REPLICATION_REPLICA_RESULTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -71,6 +72,11 @@
   /// Admitted incarnation of each replica at the commit index, without replicas
   /// that are being replaced.
   std::map<replica_id, replica_incarnation> members;
+  /// Number of replicas, vacant places included; a majority of them commits.
+  std::size_t places = 0;
+  /// Voters that have synced the log up to the commit index, including this
+  /// replica; known only on the leader.
+  std::size_t synced_copies = 0;
   /// Time of the leader's last contact with each other replica; empty unless
   /// this replica is the leader.
   std::map<replica_id, steady_time> last_contact;
