--- /dev/null
+++ b/tests/platform_programs/control_programs.h
@@ -0,0 +1,68 @@
+#ifndef ALMOND_TESTS_PLATFORM_PROGRAMS_CONTROL_PROGRAMS_H_
+#define ALMOND_TESTS_PLATFORM_PROGRAMS_CONTROL_PROGRAMS_H_
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libalmond/core/clock.h"
+#include "libalmond/core/socket_address.h"
+#include "libalmond/net/event_loop.h"
+#include "libalmond/net/http_message.h"
+
+namespace almond {
+
+/// Control programs with the platform's interfaces, as separate processes on
+/// addresses of the loopback network, each with a data folder of its own.
+class control_programs {
+ public:
+  /// @param machines number of programs; every second one is a seed
+  /// @param tolerated_losses number of disks that may be lost at once
+  control_programs(std::size_t machines, int tolerated_losses);
+  ~control_programs();
+  control_programs(const control_programs&) = delete;
+  control_programs& operator=(const control_programs&) = delete;
+
+  /// @param bootstrap true at the first start of the whole system
+  void Start(std::size_t machine, bool bootstrap);
+  /// Kills the program and waits until it has ended.
+  void Kill(std::size_t machine);
+  void EmptyDisk(std::size_t machine);
+
+  /// Sends a request to each program in turn and follows redirects, until one
+  /// answers with status 200.
+  /// @returns the body, or nothing if none does within the limit
+  std::optional<std::string> Call(const std::string& method,
+                                  const std::string& path,
+                                  const std::string& body, milliseconds limit);
+  /// @returns true once the leader reports at least this number of replicas,
+  ///   all of them admitted; false if it does not within the limit
+  bool AwaitAdmitted(std::size_t replicas, milliseconds limit);
+  std::size_t Machines() const { return processes_.size(); }
+
+ private:
+  std::string Ip(std::size_t machine) const;
+  std::string DataFolder(std::size_t machine) const;
+  std::string SeedList() const;
+  void ChoosePorts();
+  std::optional<http_response> CallOne(const socket_address& address,
+                                       const http_request& request);
+  void Wait(milliseconds time);
+
+  event_loop loop_;
+  system_clock clock_;
+  std::string folder_;
+  int tolerated_losses_;
+  std::uint16_t http_port_ = 0;
+  std::uint16_t first_port_ = 0;
+  std::vector<pid_t> processes_;
+};
+
+}  // namespace almond
+
+#endif  // ALMOND_TESTS_PLATFORM_PROGRAMS_CONTROL_PROGRAMS_H_
