Keep as many replicas as the tolerated losses require

Cause: the control log had three replicas whatever the site tolerates. Three replicas acknowledge with two copies, and need two voters to elect a leader. The three seeds were taken as the replicas; a fourth control process waited, and did not listen for entries, agents or operators meanwhile.

Change: a new cluster has 2n+1 places for n tolerated losses. The seeds found it, and the places beyond them are vacant until waiting processes claim them; a majority of all places commits from the beginning, so no entry is acknowledged on fewer than n+1 disks. Two processes that want one place are arbitrated by a claim in the log.

Why it works: the entry is on three of five disks before it is acknowledged, so one copy outlives the loss of two, and the three remaining voters are a majority that elects the one with the newest log.

--- a/src/libalmond/controllers/control/command_codec.cc
+++ b/src/libalmond/controllers/control/command_codec.cc
@@ -146,6 +146,24 @@
   value.http = reader.Text();
 }
 
+void Write(byte_writer& writer, const replica_claim& value) {
+  Write(writer, value.addresses);
+  writer.Text(value.expected_peer);
+}
+
+void Read(byte_reader& reader, replica_claim& value) {
+  Read(reader, value.addresses);
+  value.expected_peer = reader.Text();
+}
+
+void Write(byte_writer& writer, const replica_claim_result& value) {
+  writer.Number(value.accepted ? 1 : 0);
+}
+
+void Read(byte_reader& reader, replica_claim_result& value) {
+  value.accepted = reader.Number() != 0;
+}
+
 void Write(byte_writer& /*writer*/,
            const replica_address_change_result& /*value*/) {}
 
--- a/src/libalmond/controllers/control/control_command.h
+++ b/src/libalmond/controllers/control/control_command.h
@@ -39,13 +39,30 @@
 /// Result of replica_address_change.
 struct replica_address_change_result {};
 
+/// Assigns a replica's place to a process, unless another process has claimed
+/// it first.
+struct replica_claim {
+  replica_address_change addresses;  ///< of the claiming process
+  /// Address for the other replicas that the claim replaces; empty for a
+  /// vacant place.
+  std::string expected_peer;
+
+  bool operator==(const replica_claim&) const = default;
+};
+
+/// Result of replica_claim.
+struct replica_claim_result {
+  bool accepted = false;
+};
+
 /// One entry of the replicated log.
 struct control_command {
   /// Leader's clock at the proposal. Applying the command advances the log
   /// time, which replaces the local clock in the replicated state.
   wall_time now;
   std::variant<ledger_claim_message, ledger_finish_message, takeover_command,
-               config_change, versioned_config, replica_address_change>
+               config_change, versioned_config, replica_address_change,
+               replica_claim>
       body;
 };
 
@@ -63,7 +80,8 @@
 /// change_result.
 using control_result =
     std::variant<claim_result, ledger_finish_reply_message, takeover_result,
-                 change_result, replica_address_change_result>;
+                 change_result, replica_address_change_result,
+                 replica_claim_result>;
 
 }  // namespace almond
 
--- a/src/libalmond/controllers/control/control_service.cc
+++ b/src/libalmond/controllers/control/control_service.cc
@@ -107,6 +107,21 @@
                  });
 }
 
+void control_service::ClaimReplica(
+    const replica_claim& claim,
+    std::function<void(std::optional<bool>)> on_end) {
+  hooks_.propose(EncodeCommand(MakeCommand(claim)),
+                 [on_end = std::move(on_end)](const proposal_result& end) {
+                   const auto result = DecodeResult(end.result);
+                   if (end.outcome != proposal_outcome::committed || !result ||
+                       !std::holds_alternative<replica_claim_result>(*result)) {
+                     on_end(std::nullopt);
+                     return;
+                   }
+                   on_end(std::get<replica_claim_result>(*result).accepted);
+                 });
+}
+
 void control_service::Read(read_hook on_confirmed) {
   pending_reads_.push_back(std::move(on_confirmed));
   if (pending_reads_.size() == 1) hooks_.defer([this] { ConfirmReads(); });
--- a/src/libalmond/controllers/control/control_service.h
+++ b/src/libalmond/controllers/control/control_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -103,6 +104,12 @@
   void ChangeReplicaAddress(const replica_address_change& change,
                             std::function<void(bool)> on_end);
 
+  /// Proposes that a process takes over a replica's place.
+  /// @param on_end called with the decision once it is committed, otherwise
+  ///   with nothing; the claim may still be accepted later then
+  void ClaimReplica(const replica_claim& claim,
+                    std::function<void(std::optional<bool>)> on_end);
+
   /// Calls back with true once the state may be read without being stale, or
   /// with false if this replica is not the leader. All reads of one loop
   /// iteration share one confirmation.
--- a/src/libalmond/controllers/control/control_state_machine.cc
+++ b/src/libalmond/controllers/control/control_state_machine.cc
@@ -100,4 +100,15 @@
   return replica_address_change_result{};
 }
 
+control_result control_state_machine::Execute(const replica_claim& claim) {
+  const auto recorded = address_changes_.find(claim.addresses.id);
+  if (recorded != address_changes_.end() &&
+      recorded->second.peer != claim.expected_peer &&
+      recorded->second.peer != claim.addresses.peer) {
+    return replica_claim_result{false};
+  }
+  address_changes_[claim.addresses.id] = claim.addresses;
+  return replica_claim_result{true};
+}
+
 }  // namespace almond
--- a/src/libalmond/controllers/control/control_state_machine.h
+++ b/src/libalmond/controllers/control/control_state_machine.h
@@ -45,6 +45,7 @@
   control_result Execute(const config_change& change);
   control_result Execute(const versioned_config& config);
   control_result Execute(const replica_address_change& change);
+  control_result Execute(const replica_claim& claim);
 
   ledger_options options_;
   config_store config_;
--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -78,7 +78,7 @@
     const bool self = replica.id == settings_.id;
     result.replicas.push_back({replica_id(replica.id),
                                self ? settings_.listen_peer : replica.peer,
-                               replica.control});
+                               replica.control, replica.founder});
   }
   result.data_folder = settings_.data_dir;
   result.bootstrap = settings_.bootstrap;
@@ -124,11 +124,14 @@
   const config_version newest = machine_.Config().Newest();
   // Versions that are replayed from the log during the start are not reported.
   if (host_ && newest != before) {
-    const replica_status status = host_->Status();
+    std::string copies;
+    if (IsLeader()) {
+      const replica_status status = host_->Status();
+      copies = ", synced by " + std::to_string(status.synced_copies) + " of " +
+               std::to_string(status.places) + " replicas";
+    }
     LOG(INFO) << "accepted configuration version " << newest << ", digest "
-              << machine_.Config().Digest(newest) << ", synced by "
-              << status.synced_copies << " of " << status.places
-              << " replicas";
+              << machine_.Config().Digest(newest) << copies;
     accepted_at_ = clock_.SteadyNow();
   }
   return result;
@@ -205,19 +208,32 @@
   return !leader || !leader->http ? "" : leader->http->ToString();
 }
 
-std::vector<replica_summary> control_process::Replicas() const {
+void control_process::RecordAddresses() {
+  for (const control_address& replica : ReplicaAddresses()) {
+    known_address& known = known_addresses_[replica.id];
+    if (known.peer != replica.peer) known = {replica.peer, clock_.SteadyNow()};
+  }
+}
+
+std::vector<replica_summary> control_process::Replicas() {
+  RecordAddresses();
   const replica_status status = host_->Status();
   std::vector<replica_summary> result;
   for (const control_address& replica : ReplicaAddresses()) {
     replica_summary& summary = result.emplace_back();
     summary.id = replica.id;
-    summary.peer = replica.peer.ToString();
-    summary.control = replica.control.ToString();
+    summary.founder = replica.founder;
+    if (replica.peer.port != 0) {
+      summary.peer = replica.peer.ToString();
+      summary.control = replica.control.ToString();
+    }
     summary.http = replica.http ? replica.http->ToString() : "";
     const auto last_contact = status.last_contact.find(replica_id(replica.id));
     if (last_contact != status.last_contact.end()) {
+      // A process that has just claimed the place is not silent yet.
       summary.silent_for = std::chrono::duration_cast<milliseconds>(
-          clock_.SteadyNow() - last_contact->second);
+          clock_.SteadyNow() -
+          std::max(last_contact->second, known_addresses_[replica.id].since));
     }
     summary.admitted = status.members.contains(replica_id(replica.id));
     summary.role = replica.id == status.leader.Value() ? "leader" : "follower";
@@ -283,6 +299,7 @@
 void control_process::Tick() {
   service_.Tick();
   ReportLaggingProcesses();
+  RecordAddresses();
   UpdatePeerAddresses();
   ReportAddressChange();
   CheckReplaced();
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -64,6 +64,11 @@
   const socket_address& ControlAddress() const { return listener_.Address(); }
 
  private:
+  struct known_address {
+    socket_address peer;
+    steady_time since;  ///< time at which it was first seen here
+  };
+
   control_service::hooks ServiceHooks();
   control_process_api::hooks ApiHooks();
   replica_host_settings HostSettings() const;
@@ -78,7 +83,8 @@
   void ReportAddressChange();
   void CheckReplaced();
   void ReportLaggingProcesses();
-  std::vector<replica_summary> Replicas() const;
+  void RecordAddresses();
+  std::vector<replica_summary> Replicas();
 
   void OnAccept(const std::shared_ptr<peer_link>& link);
   void OnFrame(link_id id, const frame& encoded);
@@ -101,6 +107,7 @@
   std::unique_ptr<replica_host> host_;
   event_handle tick_timer_;
   std::function<void()> on_replaced_;
+  std::map<std::string, known_address> known_addresses_;
   /// Time at which the newest configuration was accepted, until all known
   /// processes have it in force.
   std::optional<steady_time> accepted_at_;
--- a/src/libalmond/processes/control_process_api.cc
+++ b/src/libalmond/processes/control_process_api.cc
@@ -7,7 +7,8 @@
 
 bool IsKnownPath(const std::string& path) {
   return path == "/v1/config" || path == "/v1/config/history" ||
-         path == "/v1/status" || path == "/v1/replicas" || path == "/healthz" ||
+         path == "/v1/status" || path == "/v1/replicas" ||
+         path == "/v1/replicas/claim" || path == "/healthz" ||
          path == "/metrics";
 }
 
@@ -32,6 +33,8 @@
     PostConfig(request, respond);
   } else if (request.method == "POST" && request.path == "/v1/replicas") {
     PostReplicaAddress(request, respond);
+  } else if (request.method == "POST" && request.path == "/v1/replicas/claim") {
+    PostReplicaClaim(request, respond);
   } else {
     respond(ReasonResponse(405, "unknown-method"));
   }
@@ -46,6 +49,8 @@
   } else if (request.path == "/v1/status") {
     respond(Status());
   } else if (request.path == "/v1/replicas") {
+    respond(ReplicaStatus());
+  } else if (request.path == "/v1/replicas/claim") {
     respond(ReasonResponse(405, "unknown-method"));
   } else if (request.path == "/healthz") {
     respond(Health());
@@ -87,6 +92,28 @@
   });
 }
 
+void control_process_api::PostReplicaClaim(
+    const http_request& request, const http_server::responder& respond) {
+  const auto claim = DecodeReplicaClaim(request.body);
+  if (!claim) {
+    respond(ReasonResponse(400, "bad-request"));
+    return;
+  }
+  if (!hooks_.is_leader()) {
+    respond(NotLeaderResponse(hooks_.leader_http()));
+    return;
+  }
+  service_.ClaimReplica(*claim, [this, respond](std::optional<bool> accepted) {
+    if (!accepted) {
+      respond(NotLeaderResponse(hooks_.leader_http()));
+    } else if (*accepted) {
+      respond({200, {{"Content-Type", "application/json"}}, "{}"});
+    } else {
+      respond(ReasonResponse(409, "claimed-by-another"));
+    }
+  });
+}
+
 void control_process_api::GetConfig(const http_request& request,
                                     const http_server::responder& respond) {
   const auto parsed = ParseVersionQuery(request.query);
@@ -114,6 +141,12 @@
                         service_.Directory().Processes(), hooks_.replicas());
 }
 
+http_response control_process_api::ReplicaStatus() const {
+  if (!hooks_.is_leader()) return NotLeaderResponse(hooks_.leader_http());
+  return StatusResponse(machine_.Config().Newest(), hooks_.leader_id(), {},
+                        hooks_.replicas());
+}
+
 http_response control_process_api::Health() const {
   if (hooks_.leader_id().empty()) return ReasonResponse(503, "no-leader");
   return {200, {{"Content-Type", "application/json"}}, "{}"};
--- a/src/libalmond/processes/control_process_api.h
+++ b/src/libalmond/processes/control_process_api.h
@@ -42,10 +42,13 @@
                   const http_server::responder& respond);
   void PostReplicaAddress(const http_request& request,
                           const http_server::responder& respond);
+  void PostReplicaClaim(const http_request& request,
+                        const http_server::responder& respond);
   void GetConfig(const http_request& request,
                  const http_server::responder& respond);
   void GetHistory(const http_server::responder& respond);
   http_response Status() const;
+  http_response ReplicaStatus() const;
   http_response Health() const;
 
   control_service& service_;
--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -120,34 +120,24 @@
                  {"admitted", replica.admitted}};
   if (replica.term) result["term"] = *replica.term;
   if (replica.commit_index) result["commit_index"] = *replica.commit_index;
-  result["peer"] = replica.peer;
-  result["control"] = replica.control;
+  if (!replica.peer.empty()) {
+    result["peer"] = replica.peer;
+    result["control"] = replica.control;
+  }
+  if (!replica.founder) result["founder"] = false;
   if (!replica.http.empty()) result["http"] = replica.http;
   if (replica.silent_for) result["silent_ms"] = replica.silent_for->count();
   return result;
 }
 
-}  // namespace
-
-http_response ReasonResponse(int status, const std::string& reason) {
-  return JsonResponse(status, {{"reason", reason}});
-}
-
-http_response NotLeaderResponse(const std::string& leader) {
-  return JsonResponse(503, {{"reason", "not-leader"}, {"leader", leader}});
+json ToJson(const replica_address_change& move) {
+  return {{"id", move.id},
+          {"peer", move.peer},
+          {"control", move.control},
+          {"http", move.http}};
 }
 
-std::string EncodeReplicaAddressChange(const replica_address_change& move) {
-  return json{{"id", move.id},
-              {"peer", move.peer},
-              {"control", move.control},
-              {"http", move.http}}
-      .dump();
-}
-
-std::optional<replica_address_change> DecodeReplicaAddressChange(
-    const std::string& body) {
-  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+std::optional<replica_address_change> ReadAddressChange(const json& parsed) {
   if (!parsed.is_object()) return std::nullopt;
   replica_address_change move;
   for (const auto& [name, text] : {std::pair("id", &move.id),
@@ -166,6 +156,41 @@
   return move;
 }
 
+}  // namespace
+
+http_response ReasonResponse(int status, const std::string& reason) {
+  return JsonResponse(status, {{"reason", reason}});
+}
+
+http_response NotLeaderResponse(const std::string& leader) {
+  return JsonResponse(503, {{"reason", "not-leader"}, {"leader", leader}});
+}
+
+std::string EncodeReplicaAddressChange(const replica_address_change& move) {
+  return ToJson(move).dump();
+}
+
+std::optional<replica_address_change> DecodeReplicaAddressChange(
+    const std::string& body) {
+  return ReadAddressChange(
+      json::parse(body, nullptr, /*allow_exceptions=*/false));
+}
+
+std::string EncodeReplicaClaim(const replica_claim& claim) {
+  json body = ToJson(claim.addresses);
+  body["expected_peer"] = claim.expected_peer;
+  return body.dump();
+}
+
+std::optional<replica_claim> DecodeReplicaClaim(const std::string& body) {
+  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const auto addresses = ReadAddressChange(parsed);
+  if (!addresses) return std::nullopt;
+  const json* expected = FindField(parsed, "expected_peer");
+  if (expected == nullptr || !expected->is_string()) return std::nullopt;
+  return replica_claim{*addresses, expected->get<std::string>()};
+}
+
 std::variant<change_request, http_response> ParseChange(
     const std::string& body) {
   if (body.size() > kMaxChangeBytes) {
--- a/src/libalmond/processes/control_process_codec.h
+++ b/src/libalmond/processes/control_process_codec.h
@@ -26,11 +26,13 @@
   /// Known only for the replica that responds.
   std::optional<std::uint64_t> term;
   std::optional<std::uint64_t> commit_index;
-  std::string peer = {};     ///< IP:PORT for the other replicas
+  /// IP:PORT for the other replicas; empty while the place is vacant.
+  std::string peer = {};
   std::string control = {};  ///< IP:PORT for entries and agents
   std::string http = {};     ///< IP:PORT for operators; empty if not set
   /// Time since the leader's last contact with it; known only on the leader.
   std::optional<milliseconds> silent_for = {};
+  bool founder = true;  ///< see control_address::founder
 };
 
 /// @returns the JSON body of POST /v1/replicas
@@ -39,6 +41,11 @@
 std::optional<replica_address_change> DecodeReplicaAddressChange(
     const std::string& body);
 
+/// @returns the JSON body of POST /v1/replicas/claim
+std::string EncodeReplicaClaim(const replica_claim& claim);
+/// @returns the claim, or nothing if the body is invalid
+std::optional<replica_claim> DecodeReplicaClaim(const std::string& body);
+
 /// Maximum size of a change's body in bytes. The last 32 documents are kept in
 /// memory and in each snapshot.
 inline constexpr std::size_t kMaxChangeBytes = std::size_t{1} << 20U;
--- a/src/libalmond/processes/control_process_settings.h
+++ b/src/libalmond/processes/control_process_settings.h
@@ -14,9 +14,12 @@
 /// Addresses of one control process.
 struct control_address {
   std::string id;
-  socket_address peer;                 ///< for the other replicas
+  /// For the other replicas; port 0 while the place is vacant.
+  socket_address peer;
   socket_address control;              ///< for entries and agents
   std::optional<socket_address> http;  ///< for operators, if set
+  /// False for a place that is vacant in a new cluster.
+  bool founder = true;
 
   bool operator==(const control_address&) const = default;
 };
--- a/src/libalmond/processes/replica_assignment.cc
+++ b/src/libalmond/processes/replica_assignment.cc
@@ -1,11 +1,13 @@
 #include "libalmond/processes/replica_assignment.h"
 
+#include <algorithm>
 #include <boost/leaf.hpp>
 #include <filesystem>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "libalmond/core/logging.h"
+#include "libalmond/processes/control_process_codec.h"
 #include "libalmond/storage/checksummed_file.h"
 #include "libalmond/storage/storage_error.h"
 
@@ -29,6 +31,10 @@
   if (!body.is_object()) return std::nullopt;
   control_address address;
   address.id = TextField(body, "id");
+  const auto founder = body.find("founder");
+  address.founder = founder == body.end() || *founder != json(false);
+  const bool vacant = !address.founder && !body.contains("peer");
+  if (vacant && !address.id.empty()) return address;
   const auto peer = socket_address::Parse(TextField(body, "peer"));
   const auto control = socket_address::Parse(TextField(body, "control"));
   if (address.id.empty() || !peer || !control) return std::nullopt;
@@ -39,15 +45,32 @@
 }
 
 json ToJson(const control_address& address) {
-  json body = {{"id", address.id},
-               {"peer", address.peer.ToString()},
-               {"control", address.control.ToString()}};
+  json body = {{"id", address.id}};
+  if (!address.founder) body["founder"] = false;
+  if (address.peer.port == 0) return body;
+  body["peer"] = address.peer.ToString();
+  body["control"] = address.control.ToString();
   if (address.http) body["http"] = address.http->ToString();
   return body;
 }
 
 }  // namespace
 
+std::size_t ReplicaCount(std::size_t tolerated_losses, std::size_t founders) {
+  const std::size_t wanted = std::max(2 * tolerated_losses + 1, founders);
+  // An even number of replicas tolerates no more losses than one less.
+  const std::size_t odd = wanted + (wanted % 2 == 0 ? 1 : 0);
+  return std::min(odd, 2 * founders - 1);
+}
+
+void AddVacantPlaces(std::size_t replicas, replica_assignment& assignment) {
+  while (assignment.replicas.size() < replicas) {
+    control_address& place = assignment.replicas.emplace_back();
+    place.id = "place-" + std::to_string(assignment.replicas.size());
+    place.founder = false;
+  }
+}
+
 std::optional<replica_assignment> ChooseAssignment(
     const std::vector<replica_liveness>& replicas, const control_address& own) {
   const replica_liveness* chosen = nullptr;
@@ -56,8 +79,14 @@
       chosen = &replica;
       break;
     }
-    if (replica.is_leader || replica.silent_for < kReplicaLossTimeout) continue;
-    if (chosen == nullptr || replica.silent_for > chosen->silent_for) {
+    const bool vacant = replica.address.peer.port == 0;
+    const bool lost =
+        !replica.is_leader && replica.silent_for >= kReplicaLossTimeout;
+    if (!vacant && !lost) continue;
+    const bool chosen_vacant =
+        chosen != nullptr && chosen->address.peer.port == 0;
+    if (chosen == nullptr || (vacant && !chosen_vacant) ||
+        (vacant == chosen_vacant && replica.silent_for > chosen->silent_for)) {
       chosen = &replica;
     }
   }
@@ -136,49 +165,101 @@
       [] { return false; });
 }
 
-assignment_finder::assignment_finder(
-    event_loop& loop, control_address own,
-    std::vector<socket_address> http_addresses,
-    std::function<void(const replica_assignment&)> on_found)
+assignment_finder::assignment_finder(event_loop& loop, control_address own,
+                                     std::vector<socket_address> http_addresses,
+                                     hooks callbacks)
     : loop_(loop),
       own_(std::move(own)),
       http_addresses_(std::move(http_addresses)),
-      on_found_(std::move(on_found)) {
-  timer_ = loop_.Every(kPollPeriod, [this] { RequestStatus(); });
+      hooks_(std::move(callbacks)) {
+  SchedulePoll(kSearchPeriod);
 }
 
-void assignment_finder::RequestStatus() {
-  if (request_in_flight_) return;
-  request_in_flight_ = true;
-  const socket_address to =
-      leader_ ? *leader_
-              : http_addresses_[next_address_++ % http_addresses_.size()];
-  leader_.reset();
+void assignment_finder::SchedulePoll(milliseconds delay) {
+  timer_ = loop_.After(delay, [this] { RequestReplicas(); });
+}
+
+socket_address assignment_finder::NextAddress() {
+  if (leader_ && leader_->http) return *leader_->http;
+  if (redirect_) return *std::exchange(redirect_, std::nullopt);
+  return http_addresses_[next_address_++ % http_addresses_.size()];
+}
+
+void assignment_finder::RequestReplicas() {
   SendHttpRequest(
-      loop_, to, {"GET", "/v1/status", "", {}, ""}, kPollTimeout,
+      loop_, NextAddress(), {"GET", "/v1/replicas", "", {}, ""}, kPollTimeout,
       [this, alive = std::weak_ptr(alive_)](const http_call_result& result) {
-        if (!alive.expired()) OnStatusResponse(result);
+        if (!alive.expired()) OnReplicas(result);
       });
 }
 
-void assignment_finder::OnStatusResponse(const http_call_result& result) {
-  request_in_flight_ = false;
-  if (result.outcome != http_call_outcome::answered || !on_found_) return;
-  if (result.response.status != 200) {
-    const json body = json::parse(result.response.body, nullptr,
-                                  /*allow_exceptions=*/false);
-    if (body.is_object()) {
-      leader_ = socket_address::Parse(TextField(body, "leader"));
+void assignment_finder::OnReplicas(const http_call_result& result) {
+  leader_.reset();
+  const bool answered = result.outcome == http_call_outcome::answered;
+  const auto replicas = answered && result.response.status == 200
+                            ? ParseReplicaLiveness(result.response.body)
+                            : std::nullopt;
+  if (!replicas) {
+    if (answered) {
+      const json body = json::parse(result.response.body, nullptr,
+                                    /*allow_exceptions=*/false);
+      if (body.is_object()) {
+        redirect_ = socket_address::Parse(TextField(body, "leader"));
+      }
     }
+    SchedulePoll(kSearchPeriod);
     return;
   }
-  const auto replicas = ParseReplicaLiveness(result.response.body);
+  std::vector<control_address> addresses;
+  for (const replica_liveness& replica : *replicas) {
+    addresses.push_back(replica.address);
+    if (replica.is_leader) leader_ = replica.address;
+  }
+  if (addresses != replicas_) {
+    replicas_ = std::move(addresses);
+    if (hooks_.on_replicas) hooks_.on_replicas(replicas_);
+  }
   const auto assignment =
-      replicas ? ChooseAssignment(*replicas, own_) : std::nullopt;
-  if (!assignment) return;
-  LOG(INFO) << "replacing replica " << assignment->id;
-  timer_.Reset();
-  std::exchange(on_found_, nullptr)(*assignment);
+      hooks_.on_claimed ? ChooseAssignment(*replicas, own_) : std::nullopt;
+  if (assignment) {
+    Claim(*assignment);
+  } else {
+    SchedulePoll(kIdlePeriod);
+  }
+}
+
+void assignment_finder::Claim(const replica_assignment& assignment) {
+  const auto place = std::find_if(
+      assignment.replicas.begin(), assignment.replicas.end(),
+      [&](const auto& other) { return other.id == assignment.id; });
+  replica_claim claim;
+  claim.addresses = {assignment.id, own_.peer.ToString(),
+                     own_.control.ToString(),
+                     own_.http ? own_.http->ToString() : ""};
+  if (place->peer.port != 0) claim.expected_peer = place->peer.ToString();
+  if (!leader_ || !leader_->http) {
+    SchedulePoll(kSearchPeriod);
+    return;
+  }
+  SendHttpRequest(
+      loop_, *leader_->http,
+      {"POST", "/v1/replicas/claim", "", {}, EncodeReplicaClaim(claim)},
+      kPollTimeout,
+      [this, assignment,
+       alive = std::weak_ptr(alive_)](const http_call_result& result) {
+        if (!alive.expired()) OnClaimed(assignment, result);
+      });
+}
+
+void assignment_finder::OnClaimed(const replica_assignment& assignment,
+                                  const http_call_result& result) {
+  if (result.outcome != http_call_outcome::answered ||
+      result.response.status != 200) {
+    SchedulePoll(kSearchPeriod);
+    return;
+  }
+  LOG(INFO) << "claimed the place of replica " << assignment.id;
+  std::exchange(hooks_.on_claimed, nullptr)(assignment);
 }
 
 }  // namespace almond
--- a/src/libalmond/processes/replica_assignment.h
+++ b/src/libalmond/processes/replica_assignment.h
@@ -15,7 +15,7 @@
 
 /// The replica id of a control process and the addresses of all replicas.
 struct replica_assignment {
-  std::string id;
+  std::string id;  ///< empty for a process without a place
   std::vector<control_address> replicas;  ///< all, including this one
 };
 
@@ -29,14 +29,26 @@
 /// Time without contact to the leader after which a replica may be replaced.
 inline constexpr milliseconds kReplicaLossTimeout{3000};
 
-/// Chooses the replica that a process with an empty data folder replaces: the
-/// one at its own address, or else the lost one that has been silent longest.
+/// @param tolerated_losses number of replicas that may be lost at once, with
+///   their disks
+/// @param founders number of replicas that form the cluster, at least 1
+/// @returns the number of replicas of a new cluster. A majority of them remains
+///   after the losses, unless there are too few founders: all founders together
+///   have to be a majority, so that they can elect a leader.
+std::size_t ReplicaCount(std::size_t tolerated_losses, std::size_t founders);
+
+/// Adds vacant places until the assignment has that number of replicas.
+void AddVacantPlaces(std::size_t replicas, replica_assignment& assignment);
+
+/// Chooses the place that a process with an empty data folder claims: the one
+/// at its own address, or else a vacant one, or else that of the lost replica
+/// that has been silent longest.
 /// @param own addresses of the process; the id is ignored
-/// @returns nothing while no replica may be replaced
+/// @returns nothing while there is no such place
 std::optional<replica_assignment> ChooseAssignment(
     const std::vector<replica_liveness>& replicas, const control_address& own);
 
-/// @param status body of GET /v1/status
+/// @param status body of GET /v1/replicas
 /// @returns the replicas, or nothing if the body is not a leader's response
 std::optional<std::vector<replica_liveness>> ParseReplicaLiveness(
     const std::string& status);
@@ -49,30 +61,53 @@
 bool SaveAssignment(const std::string& data_dir,
                     const replica_assignment& assignment);
 
-/// Polls the control processes until a replica may be replaced.
+/// Follows the leader of the control processes and claims a place in the
+/// replicated log once there is one.
 class assignment_finder {
  public:
-  static constexpr milliseconds kPollPeriod{300};
+  static constexpr milliseconds kSearchPeriod{300};
+  /// Period of the polls while no place can be claimed.
+  static constexpr milliseconds kIdlePeriod{1000};
   static constexpr milliseconds kPollTimeout{800};
 
+  struct hooks {
+    /// Called once, after the leader has accepted the claim; if it is not set,
+    /// no place is claimed.
+    std::function<void(const replica_assignment&)> on_claimed;
+    /// Called with the addresses of all replicas when they have changed.
+    std::function<void(const std::vector<control_address>&)> on_replicas;
+  };
+
   /// @param own addresses of this process
   /// @param http_addresses of control processes, at least one
-  /// @param on_found called once
   assignment_finder(event_loop& loop, control_address own,
                     std::vector<socket_address> http_addresses,
-                    std::function<void(const replica_assignment&)> on_found);
+                    hooks callbacks);
+
+  void SetAddresses(std::vector<socket_address> http_addresses) {
+    http_addresses_ = std::move(http_addresses);
+  }
+  /// @returns the leader that answered the last poll, if any
+  const std::optional<control_address>& Leader() const { return leader_; }
 
  private:
-  void RequestStatus();
-  void OnStatusResponse(const http_call_result& result);
+  void SchedulePoll(milliseconds delay);
+  void RequestReplicas();
+  void OnReplicas(const http_call_result& result);
+  void Claim(const replica_assignment& assignment);
+  void OnClaimed(const replica_assignment& assignment,
+                 const http_call_result& result);
+  socket_address NextAddress();
 
   event_loop& loop_;
   control_address own_;
   std::vector<socket_address> http_addresses_;
-  std::function<void(const replica_assignment&)> on_found_;
+  hooks hooks_;
   std::size_t next_address_ = 0;
-  std::optional<socket_address> leader_;
-  bool request_in_flight_ = false;
+  std::optional<control_address> leader_;
+  /// Address that another control process named as the leader's.
+  std::optional<socket_address> redirect_;
+  std::vector<control_address> replicas_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   event_handle timer_;
 };
--- a/src/libalmond/processes/replica_host.h
+++ b/src/libalmond/processes/replica_host.h
@@ -20,8 +20,10 @@
 /// Addresses of one replica of the control log.
 struct replica_address {
   replica_id id;
-  socket_address replication;  ///< for the other replicas
-  socket_address service;      ///< for clients; only returned by Leader
+  /// For the other replicas; port 0 while the place is vacant.
+  socket_address replication;
+  socket_address service;  ///< for clients; only returned by Leader
+  bool founder = true;     ///< see replica_settings::founders
 };
 
 /// Settings of one replica.
--- a/src/libalmond/processes/replica_host_implementation.cc
+++ b/src/libalmond/processes/replica_host_implementation.cc
@@ -30,6 +30,7 @@
   result.incarnation = incarnation;
   for (const replica_address& replica : settings.replicas) {
     result.replicas.push_back(replica.id);
+    if (replica.founder) result.founders.push_back(replica.id);
   }
   result.snapshot_after_entries = settings.snapshot_after_entries;
   return result;
@@ -101,7 +102,7 @@
   for (replica_address& replica : settings_.replicas) {
     if (replica.id != id || replica.replication == replication) continue;
     replica.replication = replication;
-    links_.Redial(replica);
+    links_.Dial(replica);
   }
 }
 
--- a/src/libalmond/processes/replica_host_links.cc
+++ b/src/libalmond/processes/replica_host_links.cc
@@ -21,17 +21,12 @@
 
 bool replica_host_links::Start(const socket_address& address) {
   if (!listener_.Listen(address)) return false;
-  for (const replica_address& peer : settings_.replicas) {
-    if (peer.id != settings_.self) Dial(peer);
-  }
+  for (const replica_address& peer : settings_.replicas) Dial(peer);
   return true;
 }
 
-void replica_host_links::Redial(const replica_address& peer) {
-  if (dialers_.count(peer.id) > 0) Dial(peer);
-}
-
 void replica_host_links::Dial(const replica_address& peer) {
+  if (peer.id == settings_.self || peer.replication.port == 0) return;
   dialers_[peer.id] = std::make_unique<peer_dialer>(
       loop_, clock_, peer.replication,
       peer_dialer::hooks{[] {},
@@ -40,17 +35,22 @@
 }
 
 void replica_host_links::Send(const replica_message& message) {
-  const frame encoded = EncodeReplicaMessage(message, settings_.cluster);
-  const auto dialer = dialers_.find(message.to);
-  if (dialer == dialers_.end()) return;
   // A replica may have been replaced by a process at another address than the
   // configured one. The connection that the peer opened is therefore preferred.
   const auto sender = links_by_sender_.find(message.to);
   if (sender != links_by_sender_.end()) {
-    sender->second->Send(encoded);
-  } else {
-    dialer->second->Send(encoded);
+    sender->second->Send(EncodeReplicaMessage(message, settings_.cluster));
+    return;
   }
+  const auto dialer = dialers_.find(message.to);
+  if (dialer == dialers_.end() || !dialer->second->Connected()) return;
+  dialer->second->Send(EncodeReplicaMessage(message, settings_.cluster));
+}
+
+bool replica_host_links::IsPeer(const replica_id& id) const {
+  return id != settings_.self &&
+         std::any_of(settings_.replicas.begin(), settings_.replicas.end(),
+                     [&id](const auto& replica) { return replica.id == id; });
 }
 
 void replica_host_links::Accept(const std::shared_ptr<peer_link>& link) {
@@ -80,8 +80,7 @@
 
 replica_id replica_host_links::Receive(const frame& encoded) {
   const auto message = DecodeReplicaMessage(encoded, settings_.cluster);
-  if (!message || message->to != settings_.self ||
-      dialers_.count(message->from) == 0) {
+  if (!message || message->to != settings_.self || !IsPeer(message->from)) {
     return {};
   }
   on_message_(*message);
--- a/src/libalmond/processes/replica_host_links.h
+++ b/src/libalmond/processes/replica_host_links.h
@@ -16,8 +16,8 @@
 namespace almond {
 
 /// Connections of one replica to the others. Each replica dials every other
-/// one. A message is sent over the connection that the peer opened or, if there
-/// is none, over the one that this replica opened.
+/// one whose address it knows. A message is sent over the connection that the
+/// peer opened or, if there is none, over the one that this replica opened.
 class replica_host_links {
  public:
   using receive_hook = std::function<void(const replica_message&)>;
@@ -33,13 +33,13 @@
   /// @param address of this replica
   /// @returns false if the address cannot be bound
   bool Start(const socket_address& address);
-  /// Dials a replica at its new address.
-  void Redial(const replica_address& peer);
+  /// Dials a replica at its current address, unless its place is vacant.
+  void Dial(const replica_address& peer);
   /// Sends a message; drops it if there is no connection.
   void Send(const replica_message& message);
 
  private:
-  void Dial(const replica_address& peer);
+  bool IsPeer(const replica_id& id) const;
   void Accept(const std::shared_ptr<peer_link>& link);
   void RemoveLink(const std::shared_ptr<peer_link>& link);
   /// @returns the sender, empty if the frame is invalid
--- a/src/libalmond/replication/membership.cc
+++ b/src/libalmond/replication/membership.cc
@@ -4,12 +4,13 @@
 
 namespace almond {
 
-membership membership::Bootstrap(const std::vector<replica_id>& replicas) {
+membership membership::Bootstrap(const std::vector<replica_id>& founders,
+                                 std::size_t places) {
   membership result;
-  for (const replica_id& id : replicas) {
+  for (const replica_id& id : founders) {
     result.voters[id] = kBootstrapIncarnation;
   }
-  result.places = replicas.size();
+  result.places = places;
   return result;
 }
 
--- a/src/libalmond/replication/membership.h
+++ b/src/libalmond/replication/membership.h
@@ -22,9 +22,12 @@
   std::map<replica_id, std::vector<replica_incarnation>> retired;
   std::size_t places = 0;  ///< number of replicas, vacant places included
 
-  /// @param replicas all replica ids
+  /// @param founders the replicas that form a new cluster
+  /// @param places number of replicas; the places beyond those of the founders
+  ///   are vacant
   /// @returns the membership of a newly bootstrapped cluster
-  static membership Bootstrap(const std::vector<replica_id>& replicas);
+  static membership Bootstrap(const std::vector<replica_id>& founders,
+                              std::size_t places);
 
   std::size_t Quorum() const { return places / 2 + 1; }
   bool IsVoter(const replica_id& id, replica_incarnation incarnation) const;
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -23,6 +23,9 @@
   replica_id self;
   replica_incarnation incarnation;
   std::vector<replica_id> replicas;  ///< all replicas, including this one
+  /// Replicas that form a new cluster; the others are admitted later. Equal at
+  /// all replicas.
+  std::vector<replica_id> founders;
   /// Number of applied entries after which a snapshot is due.
   std::size_t snapshot_after_entries = 10000;
   /// Number of entries covered by a snapshot that stay in memory, for replicas
--- a/tests/control/replica_assignment_test.cc
+++ b/tests/control/replica_assignment_test.cc
@@ -53,6 +53,36 @@
   CHECK(ChooseAssignment(replicas, At("10.0.0.2"))->id == "10.0.0.2");
 }
 
+// Guards against a vacant place that is left empty while a lost replica, whose
+// disk may return, is replaced.
+TEST_CASE("replica assignment / vacant place and lost replica / vacant first") {
+  replica_liveness vacant;
+  vacant.address.id = "place-4";
+  vacant.address.founder = false;
+  const std::vector<replica_liveness> replicas = {
+      Replica("10.0.0.1", milliseconds(0), true),
+      Replica("10.0.0.2", milliseconds(9000)), vacant};
+  const auto assignment = ChooseAssignment(replicas, At("10.0.0.9"));
+  REQUIRE(assignment);
+  CHECK(assignment->id == "place-4");
+  CHECK_FALSE(assignment->replicas.at(2).founder);
+}
+
+// Guards against a cluster that cannot bear the losses it was configured for.
+TEST_CASE("replica count / tolerated losses / a majority remains") {
+  CHECK(ReplicaCount(0, 1) == 1);
+  CHECK(ReplicaCount(1, 3) == 3);
+  CHECK(ReplicaCount(2, 3) == 5);
+  CHECK(ReplicaCount(1, 2) == 3);
+  CHECK(ReplicaCount(0, 3) == 3);
+  // Three founders are no majority of seven replicas.
+  CHECK(ReplicaCount(3, 3) == 5);
+  replica_assignment assignment{"10.0.0.1", {At("10.0.0.1")}};
+  AddVacantPlaces(3, assignment);
+  CHECK(assignment.replicas.size() == 3);
+  CHECK(assignment.replicas.at(2).id == "place-3");
+}
+
 // Guards against a status that is parsed with wrong values, and against other
 // responses that are taken for the status of a leader.
 TEST_CASE("replica assignment / status of a leader / read back") {
@@ -98,6 +128,39 @@
   CHECK(assignment->replicas.at(0) == named);
 }
 
+// Guards against a vacant place that gets lost when an assignment is stored.
+TEST_CASE("replica assignment / saved with a vacant place / loaded") {
+  const temporary_folder folder;
+  control_address founder = At("10.0.0.1");
+  founder.id = "a";
+  replica_assignment assignment{"a", {founder}};
+  AddVacantPlaces(3, assignment);
+  REQUIRE(SaveAssignment(folder.File("data"), assignment));
+  const auto loaded = LoadAssignment(folder.File("data"));
+  REQUIRE(loaded);
+  CHECK(loaded->replicas == assignment.replicas);
+}
+
+// Guards against two processes that take over the same place.
+TEST_CASE("replica claim / two processes / first one gets the place") {
+  manual_clock clock;
+  control_state_machine machine;
+  const auto claim = [&](const std::string& ip, const std::string& expected) {
+    const replica_claim body{{"place-4", ip + ":1", ip + ":2", ip + ":3"},
+                             expected};
+    CHECK(DecodeReplicaClaim(EncodeReplicaClaim(body)) == body);
+    const auto result =
+        DecodeResult(machine.Apply(EncodeCommand({clock.WallNow(), body})));
+    REQUIRE(result);
+    return std::get<replica_claim_result>(*result).accepted;
+  };
+  CHECK(claim("10.0.0.8", ""));
+  CHECK_FALSE(claim("10.0.0.9", ""));
+  CHECK(claim("10.0.0.8", ""));  // the answer was lost
+  CHECK(claim("10.0.0.9", "10.0.0.8:1"));
+  CHECK(machine.MovedReplicas().at("place-4").peer == "10.0.0.9:1");
+}
+
 // Guards against replicas that cannot reach each other after two were replaced
 // at new addresses.
 TEST_CASE(
--- a/tests/replication/log_simulation.cc
+++ b/tests/replication/log_simulation.cc
@@ -4,7 +4,8 @@
 
 namespace almond {
 
-log_simulation::log_simulation(std::uint64_t seed, std::size_t replicas)
+log_simulation::log_simulation(std::uint64_t seed, std::size_t replicas,
+                               std::size_t founders)
     : random_(seed) {
   replica_settings settings;
   settings.incarnation = kBootstrapIncarnation;
@@ -15,8 +16,13 @@
   for (std::size_t i = 0; i < replicas; ++i) {
     settings.replicas.emplace_back(std::string(1, static_cast<char>('a' + i)));
   }
+  settings.founders = settings.replicas;
+  if (founders != 0) settings.founders.resize(founders);
   for (const replica_id& id : settings.replicas) {
     settings.self = id;
+    if (replicas_.size() >= settings.founders.size()) {
+      settings.incarnation = replica_incarnation(next_incarnation_++);
+    }
     replicas_.push_back(std::make_unique<simulated_replica>(
         settings, random_, history_,
         [this](const replica_message& message) { Send(message); }));
--- a/tests/replication/log_simulation.h
+++ b/tests/replication/log_simulation.h
@@ -29,7 +29,10 @@
  public:
   static constexpr milliseconds kStep{10};
 
-  log_simulation(std::uint64_t seed, std::size_t replicas);
+  /// @param founders number of replicas that form the cluster; the others
+  ///   start with empty disks; 0 means all
+  log_simulation(std::uint64_t seed, std::size_t replicas,
+                 std::size_t founders = 0);
 
   /// Runs with random faults and client operations.
   void Run(milliseconds time, const fault_rates& rates);
--- a/tests/replication/replica_host_storage_test.cc
+++ b/tests/replication/replica_host_storage_test.cc
@@ -20,7 +20,7 @@
     auto snapshot = std::make_shared<replica_snapshot>();
     snapshot->index = index;
     snapshot->term = term;
-    snapshot->members = membership::Bootstrap({replica_id("a")});
+    snapshot->members = membership::Bootstrap({replica_id("a")}, 1);
     snapshot->data = "state";
     return {std::move(snapshot), {term, {}, {}}, std::move(entries)};
   }
--- a/tests/replication/replication_codec_test.cc
+++ b/tests/replication/replication_codec_test.cc
@@ -11,7 +11,7 @@
  protected:
   static membership Members() {
     membership members = membership::Bootstrap(
-        {replica_id("a"), replica_id("b"), replica_id("c")});
+        {replica_id("a"), replica_id("b"), replica_id("c")}, 3);
     members.Replace(replica_id("b"), replica_incarnation(0xFFFFFFFFFFFFFFF1));
     return members;
   }
