Accept a configuration that takes longer than a heartbeat period

Suspected for large configurations on slow or lossy links.

Cause: an entry waited one heartbeat period (250 ms on the platform) for a fetched configuration, dropped a later reply and fetched again. If the transfer takes longer than that, each fetch delays the next one, and the version never comes into force.

Evidence: in the test, a reply after 1.25 s is dropped and four fetches are sent.

Change: a fetch stays open until its reply, the end of the connection or 5 s; a reply is applied whenever it arrives. Older versions are ignored by the holder, as before.

Result: one fetch and the version in force in the test, which failed before.

--- a/src/libalmond/processes/control_client.cc
+++ b/src/libalmond/processes/control_client.cc
@@ -79,6 +79,11 @@
     OnHeartbeatReply(*beat);
     return;
   }
+  if (const auto* config =
+          std::get_if<fetch_config_reply_message>(&reply->body)) {
+    OnConfigReply(*config);
+    return;
+  }
   CompleteRequest(reply->number, &reply->body);
 }
 
@@ -178,6 +183,10 @@
   }
   // The leader also refuses claims this way while its ledger is full. Only a
   // refused heartbeat shows that this process is not the leader.
+  if (config_fetch_ == number) {
+    config_fetch_.reset();
+    return;
+  }
   if (open_requests_.contains(number)) return;
   leader_confirmed_ = false;
   last_heartbeat_ = clock_.SteadyNow() - timing_.heartbeat_period +
@@ -202,16 +211,17 @@
 }
 
 void control_client::FetchConfig() {
-  if (config_fetch_open_) return;
-  config_fetch_open_ = true;
-  OpenRequest<fetch_config_reply_message>(
-      fetch_config_message{}, timing_.heartbeat_period,
-      [this](const std::optional<fetch_config_reply_message>& reply) {
-        config_fetch_open_ = false;
-        if (reply && reply->version.Value() != 0) {
-          hooks_.on_config(reply->version, reply->document);
-        }
-      });
+  const steady_time now = clock_.SteadyNow();
+  if (config_fetch_ && now - config_fetch_sent_ < kConfigFetchTimeout) return;
+  config_fetch_ = ++last_number_;
+  config_fetch_sent_ = now;
+  hooks_.send(EncodeControlRequest(*config_fetch_, fetch_config_message{}));
+}
+
+void control_client::OnConfigReply(const fetch_config_reply_message& reply) {
+  config_fetch_.reset();
+  if (!hooks_.on_config || reply.version.Value() == 0) return;
+  hooks_.on_config(reply.version, reply.document);
 }
 
 void control_client::ScheduleRedial(std::optional<socket_address> address) {
@@ -234,6 +244,7 @@
   connected_ = false;
   leader_confirmed_ = false;
   leaderless_replies_ = 0;
+  config_fetch_.reset();
   dialled_at_ = clock_.SteadyNow();
   last_reply_ = dialled_at_;
   hooks_.dial(target_);
--- a/src/libalmond/processes/control_client.h
+++ b/src/libalmond/processes/control_client.h
@@ -43,6 +43,10 @@
   /// Time after which the client gives up a connection attempt and dials the
   /// next address.
   static constexpr milliseconds kConnectTimeout{500};
+  /// Time after which an unanswered fetch of the configuration is repeated on
+  /// the same connection. A large configuration takes longer than a heartbeat
+  /// period on a slow link, and each repetition would delay it further.
+  static constexpr milliseconds kConfigFetchTimeout{5000};
   /// Minimum time between dials. Limits the dial rate while the control
   /// processes name different leaders and redirect the client in a circle.
   static constexpr milliseconds kMinRedialPeriod{100};
@@ -135,6 +139,7 @@
   void OnNotLeader(std::uint64_t number, const not_leader_message& message);
   void OnHeartbeatReply(const heartbeat_reply_message& reply);
   void FetchConfig();
+  void OnConfigReply(const fetch_config_reply_message& reply);
   void ScheduleRedial(std::optional<socket_address> address);
   void Dial();
 
@@ -157,7 +162,9 @@
   steady_time last_heartbeat_;
   std::optional<steady_time> last_leader_reply_;
   std::uint64_t last_number_ = 0;
-  bool config_fetch_open_ = false;
+  /// Number of the unanswered fetch of the configuration on this connection.
+  std::optional<std::uint64_t> config_fetch_;
+  steady_time config_fetch_sent_;
   std::map<std::uint64_t, open_request> open_requests_;
   counter& resends_;
   counter& unavailable_;
--- a/tests/control_client/control_client_test.cc
+++ b/tests/control_client/control_client_test.cc
@@ -230,6 +230,26 @@
     AdvanceBy(milliseconds(3000), true);
     CHECK(requests_.size() == 1);
   }
+  SECTION("newer version that takes longer than a heartbeat period") {
+    AnswerHeartbeats(300);
+    for (int i = 0; i < 50; ++i) {
+      clock_.Advance(control_client::kTickPeriod);
+      client_.Tick();
+      AnswerHeartbeats(300);
+    }
+    CHECK(requests_.size() == 1);
+    Reply(requests_[0].number,
+          fetch_config_reply_message{config_version(300), "{}"});
+    CHECK(version_ == config_version(300));
+  }
+  SECTION("newer version refused while there is no leader") {
+    AnswerHeartbeats(300);
+    Reply(requests_[0].number, not_leader_message{});
+    clock_.Advance(milliseconds(1000));
+    client_.Tick();
+    AnswerHeartbeats(300);
+    CHECK(requests_.size() == 2);
+  }
   SECTION("entries and takeovers") {
     Reply(sent_.back().number, heartbeat_reply_message{{}, {{}}, {{}, {}}});
     CHECK(entries_ == 1);
