--- a/src/libalmond/config/config_document.cc
+++ b/src/libalmond/config/config_document.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "libalmond/core/digest.h"
+#include "libalmond/core/json_text.h"
 
 namespace almond {
 
@@ -19,7 +20,7 @@
 }
 
 std::optional<config_document> config_document::Parse(const std::string& text) {
-  const json encoded = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  const json encoded = ParseJson(text);
   if (!encoded.is_object() || !encoded.contains("base") ||
       !encoded["base"].is_string()) {
     return std::nullopt;
--- a/src/libalmond/operator_commands/json_reply.cc
+++ b/src/libalmond/operator_commands/json_reply.cc
@@ -1,12 +1,12 @@
 #include "libalmond/operator_commands/json_reply.h"
 
+#include "libalmond/core/json_text.h"
+
 namespace almond {
 
 using nlohmann::json;
 
-json ParseReply(const std::string& body) {
-  return json::parse(body, nullptr, /*allow_exceptions=*/false);
-}
+json ParseReply(const std::string& body) { return ParseJson(body); }
 
 const json& Member(const json& object, const std::string& key) {
   static const json nothing;
--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libalmond/core/json_text.h"
 #include "libalmond/core/socket_address.h"
 
 namespace almond {
@@ -172,8 +173,7 @@
 
 std::optional<replica_address_change> DecodeReplicaAddressChange(
     const std::string& body) {
-  return ReadAddressChange(
-      json::parse(body, nullptr, /*allow_exceptions=*/false));
+  return ReadAddressChange(ParseJson(body));
 }
 
 std::string EncodeReplicaClaim(const replica_claim& claim) {
@@ -183,7 +183,7 @@
 }
 
 std::optional<replica_claim> DecodeReplicaClaim(const std::string& body) {
-  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const json parsed = ParseJson(body);
   const auto addresses = ReadAddressChange(parsed);
   if (!addresses) return std::nullopt;
   const json* expected = FindField(parsed, "expected_peer");
@@ -196,7 +196,7 @@
   if (body.size() > kMaxChangeBytes) {
     return ReasonResponse(413, "body-too-large");
   }
-  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const json parsed = ParseJson(body);
   if (parsed.is_discarded()) {
     return ReasonResponse(400, IsUtf8(body) ? "bad-json" : "bad-utf8");
   }
--- a/src/libalmond/processes/endpoint_codec.cc
+++ b/src/libalmond/processes/endpoint_codec.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <string_view>
 
+#include "libalmond/core/json_text.h"
+
 namespace almond {
 namespace {
 
@@ -104,7 +106,7 @@
 
 std::variant<endpoint_announcement, refusal> ParseEndpointAnnouncement(
     const std::string& body) {
-  const json object = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const json object = ParseJson(body);
   if (!object.is_object()) {
     return refusal{refusal_reason::bad_json, run_outcome::not_run,
                    "body: expected a JSON object"};
--- a/src/libalmond/processes/entry_codec.cc
+++ b/src/libalmond/processes/entry_codec.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "libalmond/core/json_text.h"
+
 namespace almond {
 namespace {
 
@@ -127,33 +129,13 @@
   }
 }
 
-/// Detects deep nesting before the parser builds a value for each level.
-bool IsNestedTooDeeply(const std::string& text) {
-  constexpr int kMaxDepth = 32;
-  int depth = 0;
-  bool quoted = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (quoted && c == '\\') {
-      ++i;
-    } else if (c == '"') {
-      quoted = !quoted;
-    } else if (!quoted && (c == '[' || c == '{')) {
-      if (++depth > kMaxDepth) return true;
-    } else if (!quoted && (c == ']' || c == '}')) {
-      --depth;
-    }
-  }
-  return false;
-}
-
 std::optional<refusal> ReadJob(const std::string& body,
                                request_context& context) {
   if (IsNestedTooDeeply(body)) {
     return NotRunRefusal(refusal_reason::bad_json,
                          "the body is nested too deeply");
   }
-  const json object = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const json object = ParseJson(body);
   if (object.is_discarded()) {
     if (!IsUtf8(body)) {
       return NotRunRefusal(refusal_reason::bad_utf8, "the body is not UTF-8");
--- a/src/libalmond/processes/replica_assignment.cc
+++ b/src/libalmond/processes/replica_assignment.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libalmond/core/json_text.h"
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/control_process_codec.h"
 #include "libalmond/storage/checksummed_file.h"
@@ -101,7 +102,7 @@
 
 std::optional<std::vector<replica_liveness>> ParseReplicaLiveness(
     const std::string& status) {
-  const json body = json::parse(status, nullptr, /*allow_exceptions=*/false);
+  const json body = ParseJson(status);
   if (!body.is_object() || !body.contains("replicas") ||
       !body["replicas"].is_array()) {
     return std::nullopt;
@@ -131,7 +132,7 @@
       },
       [] { return std::optional<std::string>(); });
   if (!content) return std::nullopt;
-  const json body = json::parse(*content, nullptr, /*allow_exceptions=*/false);
+  const json body = ParseJson(*content);
   if (!body.is_object() || !body.contains("replicas")) return std::nullopt;
   replica_assignment assignment;
   assignment.id = TextField(body, "id");
@@ -201,8 +202,7 @@
                             : std::nullopt;
   if (!replicas) {
     if (answered) {
-      const json body = json::parse(result.response.body, nullptr,
-                                    /*allow_exceptions=*/false);
+      const json body = ParseJson(result.response.body);
       if (body.is_object()) {
         redirect_ = socket_address::Parse(TextField(body, "leader"));
       }
