--- a/tests/platform_programs/control_programs.cc
+++ b/tests/platform_programs/control_programs.cc
@@ -5,6 +5,7 @@
 #include <spawn.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -155,31 +156,56 @@
     for (int hop = 0; hop <= kMaxRedirects && address.port != 0; ++hop) {
       const auto response = CallOne(address, request);
       if (response && response->status == 200) return response->body;
-      address = response && response->status == 307
-                    ? LocationAddress(*response)
-                    : socket_address();
+      address = response && response->status == 307 ? LocationAddress(*response)
+                                                    : socket_address();
     }
     Wait(kRetryPeriod);
   }
   return std::nullopt;
 }
 
-bool control_programs::AwaitAdmitted(std::size_t replicas, milliseconds limit) {
+bool control_programs::WaitUntil(milliseconds limit,
+                                 const std::function<bool()>& condition) {
   const steady_time deadline = clock_.SteadyNow() + limit;
-  while (clock_.SteadyNow() < deadline) {
-    const auto status = Call("GET", "/v1/status", "", kCallTimeout);
-    if (!status) continue;
-    const auto body = nlohmann::json::parse(*status, nullptr, false);
-    std::size_t admitted = 0;
-    for (const auto& replica : body["replicas"]) {
-      if (replica["admitted"] == true) ++admitted;
-    }
-    if (admitted == body["replicas"].size() && admitted >= replicas) {
-      return true;
-    }
+  while (!condition()) {
+    if (clock_.SteadyNow() >= deadline) return false;
     Wait(kRetryPeriod);
   }
-  return false;
+  return true;
+}
+
+std::vector<replica_liveness> control_programs::AdmittedReplicas() {
+  const auto status = Call("GET", "/v1/status", "", kCallTimeout);
+  if (!status) return {};
+  const auto body = nlohmann::json::parse(*status, nullptr, false);
+  for (const auto& replica : body["replicas"]) {
+    if (replica["admitted"] != true) return {};
+  }
+  return ParseReplicaLiveness(*status).value_or(
+      std::vector<replica_liveness>());
+}
+
+bool control_programs::AwaitAdmitted(std::size_t replicas, milliseconds limit) {
+  return WaitUntil(limit,
+                   [&] { return AdmittedReplicas().size() >= replicas; });
+}
+
+bool control_programs::AwaitReplaced(std::size_t machine, milliseconds limit) {
+  return WaitUntil(limit, [&] {
+    const auto replicas = AdmittedReplicas();
+    return !replicas.empty() &&
+           std::none_of(replicas.begin(), replicas.end(),
+                        [&](const replica_liveness& replica) {
+                          return replica.address.peer.ip == Ip(machine);
+                        });
+  });
+}
+
+bool control_programs::AwaitStandby(std::size_t machine, milliseconds limit) {
+  return WaitUntil(limit, [&] {
+    const auto stored = LoadAssignment(DataFolder(machine));
+    return stored && stored->id.empty();
+  });
 }
 
 }  // namespace almond
--- a/tests/platform_programs/control_programs.h
+++ b/tests/platform_programs/control_programs.h
@@ -14,6 +14,7 @@
 #include "libalmond/core/socket_address.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/net/http_message.h"
+#include "libalmond/processes/replica_assignment.h"
 
 namespace almond {
 
@@ -43,6 +44,12 @@
   /// @returns true once the leader reports at least this number of replicas,
   ///   all of them admitted; false if it does not within the limit
   bool AwaitAdmitted(std::size_t replicas, milliseconds limit);
+  /// @returns true once another machine has the place that this one had and all
+  ///   replicas are admitted; false if that does not happen within the limit
+  bool AwaitReplaced(std::size_t machine, milliseconds limit);
+  /// @returns true once the machine has stored the addresses of the replicas
+  ///   without a place of its own; false if it does not within the limit
+  bool AwaitStandby(std::size_t machine, milliseconds limit);
   std::size_t Machines() const { return processes_.size(); }
 
  private:
@@ -53,6 +60,10 @@
   std::optional<http_response> CallOne(const socket_address& address,
                                        const http_request& request);
   void Wait(milliseconds time);
+  /// @returns true once the condition holds, false after the limit
+  bool WaitUntil(milliseconds limit, const std::function<bool()>& condition);
+  /// @returns the replicas that the leader reports, empty if none answers
+  std::vector<replica_liveness> AdmittedReplicas();
 
   event_loop loop_;
   system_clock clock_;
--- a/tests/platform_programs/lost_disks_test.cc
+++ b/tests/platform_programs/lost_disks_test.cc
@@ -22,15 +22,14 @@
   }
 
   bool Put(int version) {
-    const nlohmann::json config = {
-        {"version", version},
-        {"services", {{{"name", "s"}}}},
-        {"routes",
-         {{{"name", "r"},
-           {"host", "a.example"},
-           {"path_prefix", "/x/"},
-           {"timeout_ms", 1500},
-           {"service", "s"}}}}};
+    const nlohmann::json config = {{"version", version},
+                                   {"services", {{{"name", "s"}}}},
+                                   {"routes",
+                                    {{{"name", "r"},
+                                      {"host", "a.example"},
+                                      {"path_prefix", "/x/"},
+                                      {"timeout_ms", 1500},
+                                      {"service", "s"}}}}};
     return programs_.Call("PUT", kPath, config.dump(), kStartLimit).has_value();
   }
   /// @returns the version of the configuration that is read back, or 0
@@ -57,5 +56,20 @@
   CHECK(VersionAfterRestart() == 4);
 }
 
+// Guards against replicas that nobody finds any more, because no seed that kept
+// its disk has a place among them.
+TEST_CASE_METHOD(lost_disks_fixture,
+                 "control programs / two seeds lost and one replaced before / "
+                 "acknowledged configuration is read back") {
+  programs_.Kill(0);
+  REQUIRE(programs_.AwaitReplaced(0, kStartLimit));
+  programs_.Start(0, false);
+  REQUIRE(programs_.AwaitStandby(0, kStartLimit));
+  for (std::size_t i = 0; i < programs_.Machines(); ++i) programs_.Kill(i);
+  programs_.EmptyDisk(2);
+  programs_.EmptyDisk(4);
+  CHECK(VersionAfterRestart() == 4);
+}
+
 }  // namespace
 }  // namespace almond
