Let a standby find the leader through the replicas that it knew

Cause: two control processes ran in each zone, and where a zone has one disk the second one has none. After the seeds had changed, the seeds could all be standbys. A standby asked only the seeds, so it lost the leader at the next change, and directed no entry to the new one.

Change: a standby also asks the replicas that it knew last, every 100 ms while it knows no leader.

--- a/src/libalmond/processes/replica_assignment.cc
+++ b/src/libalmond/processes/replica_assignment.cc
@@ -183,7 +183,12 @@
 socket_address assignment_finder::NextAddress() {
   if (leader_ && leader_->http) return *leader_->http;
   if (redirect_) return *std::exchange(redirect_, std::nullopt);
-  return http_addresses_[next_address_++ % http_addresses_.size()];
+  // The configured processes may all be without a place, so the replicas that
+  // were known last are asked too.
+  const std::size_t next =
+      next_address_++ % (replicas_.size() + http_addresses_.size());
+  if (next >= replicas_.size()) return http_addresses_[next - replicas_.size()];
+  return replicas_[next].http.value_or(http_addresses_.front());
 }
 
 void assignment_finder::RequestReplicas() {
--- a/src/libalmond/processes/replica_assignment.h
+++ b/src/libalmond/processes/replica_assignment.h
@@ -65,7 +65,7 @@
 /// replicated log once there is one.
 class assignment_finder {
  public:
-  static constexpr milliseconds kSearchPeriod{300};
+  static constexpr milliseconds kSearchPeriod{100};
   /// Period of the polls while no place can be claimed.
   static constexpr milliseconds kIdlePeriod{1000};
   static constexpr milliseconds kPollTimeout{800};
@@ -87,7 +87,7 @@
   void SetAddresses(std::vector<socket_address> http_addresses) {
     http_addresses_ = std::move(http_addresses);
   }
-  /// @returns the leader that answered the last poll, if any
+  /// @returns the leader, if the last poll reached it
   const std::optional<control_address>& Leader() const { return leader_; }
 
  private:
--- a/tests/control/control_standby_test.cc
+++ b/tests/control/control_standby_test.cc
@@ -58,6 +58,7 @@
     return place;
   }
   http_response AnswerAsLeader(const http_request& request) {
+    if (!leader_known_) return NotLeaderResponse("");
     if (request.method == "GET") {
       return StatusResponse(config_version(1), "a", {}, replicas_);
     }
@@ -96,6 +97,7 @@
   std::vector<replica_summary> replicas_;
   std::vector<replica_claim> claims_;
   std::size_t refused_claims_ = 0;
+  bool leader_known_ = true;
   std::optional<replica_assignment> claimed_;
   const temporary_folder folder_;
   std::unique_ptr<control_standby> standby_;
@@ -166,6 +168,28 @@
   CHECK(stored->replicas.at(1).http == socket_address{"127.0.0.9", 3});
 }
 
+// Guards against a standby that forgets the replicas when the leader changes,
+// and then directs nobody, because the configured processes know no leader.
+TEST_CASE_METHOD(control_standby_fixture,
+                 "control standby / leader changes to a process that is not "
+                 "configured / found") {
+  http_server successor(loop_, [this](const http_request& /*request*/,
+                                      const http_server::responder& respond) {
+    respond(StatusResponse(config_version(1), "b", {}, replicas_));
+  });
+  REQUIRE(successor.Listen({"127.0.0.1", 0}));
+  replicas_.at(1).http = successor.Address().ToString();
+  Start(folder_.File("data"));
+  AwaitLeader();
+  leader_known_ = false;
+  replicas_.at(0).role = "follower";
+  replicas_.at(1).role = "leader";
+  RunUntil([&] {
+    return standby_->LeaderHttpAddress() == successor.Address().ToString();
+  });
+  CHECK(claims_.empty());
+}
+
 // Guards against a process without a disk that acknowledges entries.
 TEST_CASE_METHOD(control_standby_fixture,
                  "control standby / no data folder / claims no place") {
