--- a/tests/platform_programs/control_programs.cc
+++ b/tests/platform_programs/control_programs.cc
@@ -103,6 +103,7 @@
       "--tolerated_losses=" + std::to_string(tolerated_losses_)};
   std::filesystem::create_directories(DataFolder(machine));
   std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) pointers.push_back(argument.data());
   pointers.push_back(nullptr);
   posix_spawn_file_actions_t files;
