Record the claimed addresses in the assignment of a claimant

Callers saw nothing by themselves. A process that had claimed the place of a lost replica kept the lost replica's addresses in its assignment. Until its log arrived it took this for a move of its own and reported its address again. If the former holder of the place was back, the two changed the place's address in turn and neither kept it.

The assignment now has the addresses that were claimed, so there is nothing to report until the log names other ones. The test failed on three addresses before and passes now.

--- a/src/libalmond/processes/replica_assignment.cc
+++ b/src/libalmond/processes/replica_assignment.cc
@@ -224,16 +224,16 @@
     replicas_ = std::move(addresses);
     if (hooks_.on_replicas) hooks_.on_replicas(replicas_);
   }
-  const auto assignment =
+  auto assignment =
       hooks_.on_claimed ? ChooseAssignment(*replicas, own_) : std::nullopt;
   if (assignment) {
-    Claim(*assignment);
+    Claim(std::move(*assignment));
   } else {
     SchedulePoll(kIdlePeriod);
   }
 }
 
-void assignment_finder::Claim(const replica_assignment& assignment) {
+void assignment_finder::Claim(replica_assignment assignment) {
   const auto place = std::find_if(
       assignment.replicas.begin(), assignment.replicas.end(),
       [&](const auto& other) { return other.id == assignment.id; });
@@ -242,6 +242,9 @@
                      own_.control.ToString(),
                      own_.http ? own_.http->ToString() : ""};
   if (place->peer.port != 0) claim.expected_peer = place->peer.ToString();
+  place->peer = own_.peer;
+  place->control = own_.control;
+  place->http = own_.http;
   if (!leader_ || !leader_->http) {
     SchedulePoll(kSearchPeriod);
     return;
--- a/src/libalmond/processes/replica_assignment.h
+++ b/src/libalmond/processes/replica_assignment.h
@@ -94,7 +94,7 @@
   void SchedulePoll(milliseconds delay);
   void RequestReplicas();
   void OnReplicas(const http_call_result& result);
-  void Claim(const replica_assignment& assignment);
+  void Claim(replica_assignment assignment);
   void OnClaimed(const replica_assignment& assignment,
                  const http_call_result& result);
   socket_address NextAddress();
--- a/tests/control/control_standby_test.cc
+++ b/tests/control/control_standby_test.cc
@@ -154,6 +154,21 @@
   CHECK(claimed_->replicas.size() == 3);
 }
 
+// Guards against a process that reports its address again, as if it had moved
+// since the claim.
+TEST_CASE_METHOD(control_standby_fixture,
+                 "control standby / place of a lost replica claimed / "
+                 "assignment has the claimed addresses") {
+  replicas_[1].silent_for = kReplicaLossTimeout;
+  Start(folder_.File("data"));
+  RunUntil([this] { return claimed_.has_value(); });
+  CHECK(claims_.back().expected_peer == "127.0.0.9:1");
+  CHECK(claimed_->id == "b");
+  CHECK(claimed_->replicas[1].peer == own_.peer);
+  CHECK(claimed_->replicas[1].control == own_.control);
+  CHECK(claimed_->replicas[1].http == own_.http);
+}
+
 // Guards against a standby that does not find the replicas after a restart of
 // all, when the seeds have lost their disks.
 TEST_CASE_METHOD(control_standby_fixture,
