Leave a claimed place to the process that claimed it

A process that comes back after its place was claimed reads the claim from the log, takes the other address for a move of its own, and reports its own address to the leader at its next tick, 0.5 s later at most. The place's address then is that of a process that has been replaced or is about to be, which empties its disk and claims the place again at once: an admitted replica with all entries makes room for an empty one.

A process now reports an address that differs from the recorded one only after the loss timeout, during which the claimant can join, and never once it has been replaced. If the claimant does not join, the place returns to its former holder.

--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -6,6 +6,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/net/http_client.h"
+#include "libalmond/processes/replica_assignment.h"
 #include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
 
@@ -179,6 +180,12 @@
     if (replica.id != settings_.id) continue;
     if (replica.peer == settings_.listen_peer) return;
   }
+  // Another process that has claimed the place gets time to join.
+  const steady_time changed_at = known_addresses_[settings_.id].since;
+  if (host_->Status().replaced ||
+      clock_.SteadyNow() - changed_at < kReplicaLossTimeout) {
+    return;
+  }
   if (IsLeader()) {
     service_.ChangeReplicaAddress(own, [](bool /*committed*/) {});
     return;
--- a/tests/control/control_process_test.cc
+++ b/tests/control/control_process_test.cc
@@ -8,6 +8,8 @@
 #include "libalmond/core/digest.h"
 #include "libalmond/net/http_client.h"
 #include "libalmond/processes/control_client_link.h"
+#include "libalmond/processes/control_process_codec.h"
+#include "libalmond/processes/replica_assignment.h"
 
 namespace almond {
 namespace {
@@ -107,6 +109,16 @@
     REQUIRE(end->response.status == 200);
     return nlohmann::json::parse(end->response.body);
   }
+  void PostClaim(const replica_claim& claim) {
+    std::optional<http_call_result> end;
+    SendHttpRequest(
+        loop_, *replicas_[Leader()].http,
+        {"POST", "/v1/replicas/claim", "", {}, EncodeReplicaClaim(claim)},
+        milliseconds(20000),
+        [&end](const http_call_result& result) { end = result; });
+    RunUntil([&end] { return end.has_value(); });
+    REQUIRE(end->response.status == 200);
+  }
   std::optional<ledger_claim_reply_message> Claim(
       const ledger_claim_message& claim) {
     std::optional<ledger_claim_reply_message> reply;
@@ -202,5 +214,28 @@
   CHECK(processes_.size() == 3);
 }
 
+// Guards against a restarted process that takes its place back from the process
+// that has claimed it, which is then replaced by an empty disk.
+TEST_CASE_METHOD(control_process_fixture,
+                 "control process / restarted after its place was claimed / "
+                 "takes it back only if the other process does not join") {
+  Leader();
+  const std::size_t index = Leader() == 2 ? 1 : 2;
+  const control_address& old = replicas_[index];
+  processes_.erase(index);
+  const replica_claim claim{
+      {old.id, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"},
+      old.peer.ToString()};
+  PostClaim(claim);
+  Start(index, false);
+  const auto recorded = [this, &old] {
+    return processes_[Leader()]->State().MovedReplicas().at(old.id).peer;
+  };
+  REQUIRE(recorded() == claim.addresses.peer);
+  const steady_time start = clock_.SteadyNow();
+  RunUntil([&] { return recorded() == old.peer.ToString(); });
+  CHECK(clock_.SteadyNow() - start >= kReplicaLossTimeout);
+}
+
 }  // namespace
 }  // namespace almond
