Show a process that its place was given to another one

Four machines then hold data or wait where the settings promise five, and the seed directs no caller to the leader.

Cause, from the logs of the programs (the test now prints them): the leader sends to one process for each place, the one that spoke to it last, or else the one at the recorded address. - The restarted process had been replaced while a replica led whose address it did not know. Nobody dialled it, and so it never learned that it was replaced. - Or it was back before the claimant had joined. The leader went on with it, and the claimant waited without end. The test also took a claim for a completed replacement, so that both cases occurred in it by chance.

Ruled out: a place that was claimed later by the restarted process; all five places were taken before.

A process that is not admitted, or knows no leader, now asks the other control processes for the addresses of all replicas, as a standby does. A process that is not admitted and whose place is recorded for another one returns to waiting. The others dial the leader, which sends them the log.

--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -6,7 +6,6 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/net/http_client.h"
-#include "libalmond/processes/replica_assignment.h"
 #include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
 
@@ -153,6 +152,13 @@
     if (control) replica.control = *control;
     replica.http = socket_address::Parse(move->second.http);
   }
+  for (const control_address& reported : reported_replicas_) {
+    for (control_address& replica : result) {
+      if (replica.id == reported.id && replica.id != settings_.id) {
+        replica = reported;
+      }
+    }
+  }
   return result;
 }
 
@@ -203,10 +209,46 @@
   }
 }
 
-void control_process::CheckReplaced() {
-  if (!on_replaced_ || !host_->Status().replaced) return;
-  LOG(WARNING) << "replica " << settings_.id
-               << " was replaced by another process";
+void control_process::CheckPlace() {
+  const replica_status status = host_->Status();
+  if (status.replaced) {
+    EndReplaced("was replaced by another process");
+  } else if (status.admitted && !status.leader.Empty()) {
+    finder_.reset();
+    reported_replicas_.clear();
+  } else if (!finder_) {
+    FollowReplicas();
+  }
+}
+
+void control_process::FollowReplicas() {
+  std::vector<socket_address> addresses;
+  for (const control_address& replica : ReplicaAddresses()) {
+    if (replica.id != settings_.id && replica.http) {
+      addresses.push_back(*replica.http);
+    }
+  }
+  if (addresses.empty()) return;
+  assignment_finder::hooks hooks;
+  hooks.on_replicas = [this](const auto& replicas) { OnReplicas(replicas); };
+  finder_ = std::make_unique<assignment_finder>(
+      loop_, control_address(), std::move(addresses), std::move(hooks));
+}
+
+void control_process::OnReplicas(const std::vector<control_address>& replicas) {
+  reported_replicas_ = replicas;
+  if (host_->Status().admitted) return;
+  for (const control_address& replica : replicas) {
+    if (replica.id == settings_.id && replica.peer != settings_.listen_peer) {
+      EndReplaced("lost its place to " + replica.peer.ToString() +
+                  " before it was admitted");
+    }
+  }
+}
+
+void control_process::EndReplaced(const std::string& reason) {
+  if (!on_replaced_) return;
+  LOG(WARNING) << "replica " << settings_.id << " " << reason;
   std::exchange(on_replaced_, nullptr)();
 }
 
@@ -242,7 +284,9 @@
           clock_.SteadyNow() -
           std::max(last_contact->second, known_addresses_[replica.id].since));
     }
-    summary.admitted = status.members.contains(replica_id(replica.id));
+    const auto member = status.members.find(replica_id(replica.id));
+    summary.admitted = member != status.members.end();
+    if (summary.admitted) summary.incarnation = member->second;
     summary.role = replica.id == status.leader.Value() ? "leader" : "follower";
     if (replica.id != settings_.id) continue;
     summary.role = Name(status.role);
@@ -309,7 +353,7 @@
   RecordAddresses();
   UpdatePeerAddresses();
   ReportAddressChange();
-  CheckReplaced();
+  CheckPlace();
   metrics_.Gauge("almond_control_leader").Set(IsLeader() ? 1 : 0);
   metrics_.Gauge("almond_control_config_version")
       .Set(static_cast<double>(machine_.Config().Newest().Value()));
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -16,6 +16,7 @@
 #include "libalmond/net/peer_listener.h"
 #include "libalmond/processes/control_process_api.h"
 #include "libalmond/processes/control_process_settings.h"
+#include "libalmond/processes/replica_assignment.h"
 #include "libalmond/processes/replica_host.h"
 
 namespace almond {
@@ -49,7 +50,8 @@
   std::optional<std::string> Start();
 
   /// @param on_replaced called once if another process has replaced this
-  ///   replica; the data folder cannot be used any more then
+  ///   replica, or has its place before this one was admitted; the data folder
+  ///   cannot be used any more then
   void OnReplaced(std::function<void()> on_replaced) {
     on_replaced_ = std::move(on_replaced);
   }
@@ -81,7 +83,13 @@
   std::vector<control_address> ReplicaAddresses() const;
   void UpdatePeerAddresses();
   void ReportAddressChange();
-  void CheckReplaced();
+  void CheckPlace();
+  /// Asks other control processes for the addresses of all replicas while this
+  /// one is not admitted or knows no leader: the leader may send the log to
+  /// another process at the same place, and no one else knows this process.
+  void FollowReplicas();
+  void OnReplicas(const std::vector<control_address>& replicas);
+  void EndReplaced(const std::string& reason);
   void ReportLaggingProcesses();
   void RecordAddresses();
   std::vector<replica_summary> Replicas();
@@ -107,6 +115,9 @@
   std::unique_ptr<replica_host> host_;
   event_handle tick_timer_;
   std::function<void()> on_replaced_;
+  std::unique_ptr<assignment_finder> finder_;
+  /// Addresses that the leader reported to the finder, while there is one.
+  std::vector<control_address> reported_replicas_;
   std::map<std::string, known_address> known_addresses_;
   /// Time at which the newest configuration was accepted, until all known
   /// processes have it in force.
--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -119,6 +119,10 @@
   json result = {{"id", replica.id},
                  {"role", replica.role},
                  {"admitted", replica.admitted}};
+  if (replica.incarnation) {
+    // As text, because JSON readers may round large numbers.
+    result["incarnation"] = std::to_string(replica.incarnation->Value());
+  }
   if (replica.term) result["term"] = *replica.term;
   if (replica.commit_index) result["commit_index"] = *replica.commit_index;
   if (!replica.peer.empty()) {
--- a/src/libalmond/processes/control_process_codec.h
+++ b/src/libalmond/processes/control_process_codec.h
@@ -33,6 +33,8 @@
   /// Time since the leader's last contact with it; known only on the leader.
   std::optional<milliseconds> silent_for = {};
   bool founder = true;  ///< see control_address::founder
+  /// Incarnation that is admitted.
+  std::optional<replica_incarnation> incarnation = {};
 };
 
 /// @returns the JSON body of POST /v1/replicas
--- a/tests/control/control_process_test.cc
+++ b/tests/control/control_process_test.cc
@@ -100,6 +100,10 @@
     while (!done() && !timed_out_) loop_.Run();
     REQUIRE_FALSE(timed_out_);
   }
+  void RunFor(milliseconds time) {
+    loop_.Post(time, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
   nlohmann::json Call(const std::string& method, const std::string& body) {
     std::optional<http_call_result> end;
     SendHttpRequest(loop_, *replicas_[Leader()].http,
@@ -214,6 +218,25 @@
   CHECK(processes_.size() == 3);
 }
 
+// Guards against a process that stays without a place, while another process
+// receives the log for it.
+TEST_CASE_METHOD(control_process_fixture,
+                 "control process / place given to another before admission / "
+                 "ends as replaced") {
+  Leader();
+  processes_.erase(2);
+  std::filesystem::remove_all(folder_ + "/" + replicas_[2].id);
+  PostClaim({{replicas_[2].id, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"},
+             replicas_[2].peer.ToString()});
+  // The others stop dialling the old address at their next tick.
+  RunFor(3 * control_service::kTickPeriod);
+  bool replaced = false;
+  Start(2, false);
+  processes_[2]->OnReplaced([&replaced] { replaced = true; });
+  RunUntil([&replaced] { return replaced; });
+  CHECK(processes_[2]->State().MovedReplicas().empty());
+}
+
 // Guards against a restarted process that takes its place back from the process
 // that has claimed it, which is then replaced by an empty disk.
 TEST_CASE_METHOD(control_process_fixture,
--- a/tests/platform_programs/control_programs.cc
+++ b/tests/platform_programs/control_programs.cc
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -55,6 +56,20 @@
   return folder_ + "/" + std::to_string(machine);
 }
 
+std::string control_programs::LogPath(std::size_t machine) const {
+  return folder_ + "/log." + std::to_string(machine);
+}
+
+std::string control_programs::Logs() const {
+  std::string logs;
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    std::ifstream log(LogPath(i));
+    logs += "machine-" + std::to_string(i) + ":\n";
+    logs.append(std::istreambuf_iterator<char>(log), {});
+  }
+  return logs;
+}
+
 std::string control_programs::SeedList() const {
   std::string seeds;
   for (std::size_t i = 0; i < processes_.size(); i += 2) {
@@ -108,7 +123,7 @@
   pointers.push_back(nullptr);
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
-  const std::string log = folder_ + "/log." + std::to_string(machine);
+  const std::string log = LogPath(machine);
   posix_spawn_file_actions_addopen(&files, 1, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&files, 1, 2);
@@ -191,7 +206,7 @@
                    [&] { return AdmittedReplicas().size() >= replicas; });
 }
 
-bool control_programs::AwaitReplaced(std::size_t machine, milliseconds limit) {
+bool control_programs::AwaitClaimed(std::size_t machine, milliseconds limit) {
   return WaitUntil(limit, [&] {
     const auto replicas = AdmittedReplicas();
     return !replicas.empty() &&
@@ -202,10 +217,41 @@
   });
 }
 
+std::string control_programs::AdmittedIncarnation(std::size_t seed) {
+  const auto status = Call("GET", "/v1/status", "", kCallTimeout);
+  if (!status) return "";
+  const auto body = nlohmann::json::parse(*status, nullptr, false);
+  for (const auto& replica : body["replicas"]) {
+    if (replica["id"] == Ip(seed)) return replica.value("incarnation", "");
+  }
+  return "";
+}
+
+bool control_programs::AwaitReplaced(std::size_t seed,
+                                     const std::string& incarnation,
+                                     milliseconds limit) {
+  return WaitUntil(limit, [&] {
+    const std::string now = AdmittedIncarnation(seed);
+    return !now.empty() && now != incarnation;
+  });
+}
+
+bool control_programs::IsStandby(std::size_t machine) const {
+  const auto stored = LoadAssignment(DataFolder(machine));
+  return stored && stored->id.empty();
+}
+
 bool control_programs::AwaitStandby(std::size_t machine, milliseconds limit) {
+  return WaitUntil(limit, [&] { return IsStandby(machine); });
+}
+
+bool control_programs::AwaitStandbys(std::size_t count, milliseconds limit) {
   return WaitUntil(limit, [&] {
-    const auto stored = LoadAssignment(DataFolder(machine));
-    return stored && stored->id.empty();
+    std::size_t standbys = 0;
+    for (std::size_t i = 0; i < processes_.size(); ++i) {
+      standbys += IsStandby(i) ? 1 : 0;
+    }
+    return standbys == count;
   });
 }
 
--- a/tests/platform_programs/control_programs.h
+++ b/tests/platform_programs/control_programs.h
@@ -44,17 +44,32 @@
   /// @returns true once the leader reports at least this number of replicas,
   ///   all of them admitted; false if it does not within the limit
   bool AwaitAdmitted(std::size_t replicas, milliseconds limit);
-  /// @returns true once another machine has the place that this one had and all
-  ///   replicas are admitted; false if that does not happen within the limit
-  bool AwaitReplaced(std::size_t machine, milliseconds limit);
+  /// @returns true once another machine has claimed the place of this one;
+  ///   false if that does not happen within the limit
+  bool AwaitClaimed(std::size_t machine, milliseconds limit);
+  /// @returns the incarnation that is admitted for the seed's place, empty if
+  ///   there is none
+  std::string AdmittedIncarnation(std::size_t seed);
+  /// @param incarnation the one that was admitted before
+  /// @returns true once another incarnation is admitted for the seed's place;
+  ///   false if that does not happen within the limit
+  bool AwaitReplaced(std::size_t seed, const std::string& incarnation,
+                     milliseconds limit);
   /// @returns true once the machine has stored the addresses of the replicas
   ///   without a place of its own; false if it does not within the limit
   bool AwaitStandby(std::size_t machine, milliseconds limit);
+  /// @returns true once this number of machines has no place; false if that
+  ///   does not happen within the limit
+  bool AwaitStandbys(std::size_t count, milliseconds limit);
+  /// @returns what the programs of all machines have logged
+  std::string Logs() const;
   std::size_t Machines() const { return processes_.size(); }
 
  private:
   std::string Ip(std::size_t machine) const;
   std::string DataFolder(std::size_t machine) const;
+  std::string LogPath(std::size_t machine) const;
+  bool IsStandby(std::size_t machine) const;
   std::string SeedList() const;
   void ChoosePorts();
   std::optional<http_response> CallOne(const socket_address& address,
--- a/tests/platform_programs/lost_disks_test.cc
+++ b/tests/platform_programs/lost_disks_test.cc
@@ -61,15 +61,32 @@
 TEST_CASE_METHOD(lost_disks_fixture,
                  "control programs / two seeds lost and one replaced before / "
                  "acknowledged configuration is read back") {
+  const std::string incarnation = programs_.AdmittedIncarnation(0);
   programs_.Kill(0);
-  REQUIRE(programs_.AwaitReplaced(0, kStartLimit));
+  REQUIRE(programs_.AwaitReplaced(0, incarnation, kStartLimit));
   programs_.Start(0, false);
-  REQUIRE(programs_.AwaitStandby(0, kStartLimit));
+  const bool standby = programs_.AwaitStandby(0, kStartLimit);
+  INFO(programs_.Logs());
+  REQUIRE(standby);
   for (std::size_t i = 0; i < programs_.Machines(); ++i) programs_.Kill(i);
   programs_.EmptyDisk(2);
   programs_.EmptyDisk(4);
   CHECK(VersionAfterRestart() == 4);
 }
 
+// Guards against two processes that both stay at one place.
+TEST_CASE_METHOD(
+    lost_disks_fixture,
+    "control programs / restarted while another claims its place / "
+    "one of the two waits") {
+  programs_.Kill(0);
+  REQUIRE(programs_.AwaitClaimed(0, kStartLimit));
+  programs_.Start(0, false);
+  REQUIRE(programs_.AwaitStandbys(0, kStartLimit));
+  const bool one_waits = programs_.AwaitStandbys(1, kStartLimit);
+  INFO(programs_.Logs());
+  CHECK(one_waits);
+}
+
 }  // namespace
 }  // namespace almond
