Make the tests of claimed places independent of the order of polls

Under load the leader may change between two polls, and a process may be a standby for less than one poll period. The tests now read a replica that stays, wait for the claimant before they restart the former holder, and require the incarnation to be known.

--- a/tests/control/control_process_test.cc
+++ b/tests/control/control_process_test.cc
@@ -250,13 +250,15 @@
       {old.id, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"},
       old.peer.ToString()};
   PostClaim(claim);
-  Start(index, false);
-  const auto recorded = [this, &old] {
-    return processes_[Leader()]->State().MovedReplicas().at(old.id).peer;
+  const auto recorded_at = [this, &old](const std::string& peer) {
+    const auto& moved = processes_[0]->State().MovedReplicas();
+    const auto move = moved.find(old.id);
+    return move != moved.end() && move->second.peer == peer;
   };
-  REQUIRE(recorded() == claim.addresses.peer);
+  RunUntil([&] { return recorded_at(claim.addresses.peer); });
   const steady_time start = clock_.SteadyNow();
-  RunUntil([&] { return recorded() == old.peer.ToString(); });
+  Start(index, false);
+  RunUntil([&] { return recorded_at(old.peer.ToString()); });
   CHECK(clock_.SteadyNow() - start >= kReplicaLossTimeout);
 }
 
--- a/tests/platform_programs/lost_disks_test.cc
+++ b/tests/platform_programs/lost_disks_test.cc
@@ -62,6 +62,7 @@
                  "control programs / two seeds lost and one replaced before / "
                  "acknowledged configuration is read back") {
   const std::string incarnation = programs_.AdmittedIncarnation(0);
+  REQUIRE_FALSE(incarnation.empty());
   programs_.Kill(0);
   REQUIRE(programs_.AwaitReplaced(0, incarnation, kStartLimit));
   programs_.Start(0, false);
@@ -81,8 +82,8 @@
     "one of the two waits") {
   programs_.Kill(0);
   REQUIRE(programs_.AwaitClaimed(0, kStartLimit));
-  programs_.Start(0, false);
   REQUIRE(programs_.AwaitStandbys(0, kStartLimit));
+  programs_.Start(0, false);
   const bool one_waits = programs_.AwaitStandbys(1, kStartLimit);
   INFO(programs_.Logs());
   CHECK(one_waits);
