Drop a request whose client has gone before it is read

A server that watches for disconnects now looks at the socket before it hands over a request. If the client has closed it, the request is not handled; as no task was started, none can run twice. This covers each role that sets the hook. It doesn't cover a client that closes after that look.

--- a/src/libalmond/net/http_server.cc
+++ b/src/libalmond/net/http_server.cc
@@ -80,6 +80,18 @@
   evhttp_send_reply(request, response.status, nullptr, nullptr);
 }
 
+int Descriptor(evhttp_request* request) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(request)));
+}
+
+/// @returns false if the peer has closed the connection
+bool IsOpen(int descriptor) {
+  char byte = 0;
+  const ssize_t peeked = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return peeked > 0 || (peeked < 0 && errno == EAGAIN);
+}
+
 }  // namespace
 
 http_server::http_server(event_loop& loop, handler handle,
@@ -123,6 +135,10 @@
 }
 
 void http_server::Handle(evhttp_request* request) {
+  if (on_disconnect_ && !IsOpen(Descriptor(request))) {
+    SendResponse(request, {503, {}, ""}, true);
+    return;
+  }
   ++*pending_;
   http_request received = ToRequest(request);
   received.number = ++last_number_;
@@ -138,13 +154,10 @@
 }
 
 void http_server::Watch(evhttp_request* request, std::uint64_t number) {
-  const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(
-      evhttp_request_get_connection(request)));
+  const int descriptor = Descriptor(request);
   watches_[number] = loop_.OnReadable(descriptor, [this, descriptor, number] {
-    char byte = 0;
-    const ssize_t peeked = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool open = IsOpen(descriptor);
     // Bytes of a pipelined request are left to evhttp and end the monitoring.
-    const bool open = peeked > 0 || (peeked < 0 && errno == EAGAIN);
     watches_.erase(number);
     if (!open) on_disconnect_(number);
   });
--- a/src/libalmond/net/http_server.h
+++ b/src/libalmond/net/http_server.h
@@ -45,7 +45,8 @@
   http_server& operator=(const http_server&) = delete;
 
   /// Sets the hook, and with it enables the detection of clients that
-  /// disconnect during a request. Must be called before Listen.
+  /// disconnect during a request. A request whose client has disconnected
+  /// before it is read is not handled then. Must be called before Listen.
   void SetDisconnectHook(disconnect_hook on_disconnect) {
     on_disconnect_ = std::move(on_disconnect);
   }
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -172,5 +172,22 @@
   CHECK(server_->Pending() == 0);
 }
 
+// Guards against work for a client that gave up while its request waited in the
+// socket, and has sent it to another server since.
+TEST_CASE_METHOD(
+    http_server_fixture,
+    "http server / client gone before its request is read / not handled") {
+  server_->SetDisconnectHook([](std::uint64_t) {});
+  raw_connection gone(loop_, server_->Address());
+  REQUIRE(gone.Write("GET /gone HTTP/1.1\r\nHost: a\r\n\r\n"));
+  gone.Close();
+  raw_connection waiting(loop_, server_->Address());
+  REQUIRE(waiting.Write(
+      "GET /waiting HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+  CHECK(waiting.ReadToEnd().find("GET /waiting") != std::string::npos);
+  CHECK(handled_ == 1);
+  CHECK(server_->Pending() == 0);
+}
+
 }  // namespace
 }  // namespace almond
