Keep the ledger's times as std::chrono time points

Callers see no difference. The records of the ledger held their times as bare numbers of milliseconds, against the rule that times are std::chrono types, and the second of expiry was rounded by hand. A record keeps its size.

--- a/src/libalmond/controllers/control/ledger.cc
+++ b/src/libalmond/controllers/control/ledger.cc
@@ -8,12 +8,15 @@
 namespace almond {
 namespace {
 
-std::int64_t Milliseconds(wall_time time) {
-  return std::chrono::floor<milliseconds>(time.time_since_epoch()).count();
+template <typename Time>
+void SaveTime(Time time, byte_writer& writer) {
+  writer.Number(static_cast<std::uint64_t>(time.time_since_epoch().count()));
 }
 
-wall_time FromMilliseconds(std::int64_t value) {
-  return wall_time(milliseconds(value));
+template <typename Time>
+Time LoadTime(byte_reader& reader) {
+  return Time(
+      typename Time::duration(static_cast<std::int64_t>(reader.Number())));
 }
 
 // Returns the value of a lower-case hexadecimal digit, or -1.
@@ -57,8 +60,8 @@
 
 void ledger::Advance(wall_time now) {
   now_ = std::max(now_, now);
-  const std::int64_t now_ms = Milliseconds(now_);
-  while (!expiries_.empty() && expiries_.begin()->first * 1000 <= now_ms) {
+  const auto expired_until = std::chrono::floor<milliseconds>(now_);
+  while (!expiries_.empty() && expiries_.begin()->first <= expired_until) {
     for (const uuid& submission : expiries_.begin()->second) Remove(submission);
     expiries_.erase(expiries_.begin());
   }
@@ -82,8 +85,8 @@
   if (records_.size() >= options_.max_records) return std::nullopt;
   compact_record record;
   record.digest = PackDigest(claim.digest);
-  record.accepted_ms = Milliseconds(now_);
-  record.deadline_ms = Milliseconds(claim.deadline);
+  record.accepted = std::chrono::floor<milliseconds>(now_);
+  record.deadline = std::chrono::floor<milliseconds>(claim.deadline);
   record.service = texts_.Acquire(claim.service.Value());
   record.owner = owners_.Acquire({claim.owner, claim.owner_incarnation});
   record.detail = texts_.Acquire("");
@@ -197,18 +200,16 @@
   return packed;
 }
 
-std::int64_t ledger::ExpirySecond(const uuid& submission,
-                                  const compact_record& record) const {
+ledger::expiry_second ledger::ExpirySecond(const uuid& submission,
+                                           const compact_record& record) const {
   // An id whose timestamp is ahead of the log time would be accepted again
   // until that timestamp leaves the window, so the record is kept at least that
   // long.
-  const std::int64_t id_ms = Milliseconds(submission.Timestamp());
-  const std::int64_t deadline_ms = std::min(
-      record.deadline_ms, record.accepted_ms + options_.max_deadline.count());
-  const std::int64_t expiry_ms =
-      std::max({record.accepted_ms, id_ms, deadline_ms}) +
-      options_.window.count();
-  return (expiry_ms + 999) / 1000;
+  const auto id_time = std::chrono::floor<milliseconds>(submission.Timestamp());
+  const auto deadline =
+      std::min(record.deadline, record.accepted + options_.max_deadline);
+  return std::chrono::ceil<std::chrono::seconds>(
+      std::max({record.accepted, id_time, deadline}) + options_.window);
 }
 
 bool ledger::IsResend(const compact_record& record,
@@ -217,7 +218,7 @@
   return record.state == ledger_state::running &&
          record.epoch == kFirstEpoch.Value() && owner.entry == claim.owner &&
          owner.incarnation == claim.owner_incarnation &&
-         record.deadline_ms == Milliseconds(claim.deadline);
+         record.deadline == std::chrono::floor<milliseconds>(claim.deadline);
 }
 
 ledger_claim_reply_message ledger::ReplyToExisting(
@@ -245,8 +246,8 @@
   result.epoch = owner_epoch(record.epoch);
   result.state = record.state;
   result.failure = {record.reason, record.outcome, texts_.At(record.detail)};
-  result.accepted = FromMilliseconds(record.accepted_ms);
-  result.deadline = FromMilliseconds(record.deadline_ms);
+  result.accepted = record.accepted;
+  result.deadline = record.deadline;
   return result;
 }
 
@@ -296,8 +297,8 @@
   const compact_record& record = records_.at(submission);
   writer.Id(submission);
   writer.Raw({record.digest.data(), record.digest.size()});
-  writer.Number(static_cast<std::uint64_t>(record.accepted_ms));
-  writer.Number(static_cast<std::uint64_t>(record.deadline_ms));
+  SaveTime(record.accepted, writer);
+  SaveTime(record.deadline, writer);
   writer.Number(record.service);
   writer.Number(record.owner);
   writer.Number(record.detail);
@@ -317,8 +318,8 @@
     compact_record record;
     const std::string_view digest = reader.Raw(record.digest.size());
     std::copy(digest.begin(), digest.end(), record.digest.begin());
-    record.accepted_ms = static_cast<std::int64_t>(reader.Number());
-    record.deadline_ms = static_cast<std::int64_t>(reader.Number());
+    record.accepted = LoadTime<decltype(record.accepted)>(reader);
+    record.deadline = LoadTime<decltype(record.deadline)>(reader);
     const std::uint64_t service = reader.Number();
     const std::uint64_t owner = reader.Number();
     const std::uint64_t detail = reader.Number();
--- a/src/libalmond/controllers/control/ledger.h
+++ b/src/libalmond/controllers/control/ledger.h
@@ -100,12 +100,15 @@
 
  private:
   using packed_digest = std::array<char, 32>;
+  using record_time = std::chrono::time_point<wall_time::clock, milliseconds>;
+  using expiry_second =
+      std::chrono::time_point<wall_time::clock, std::chrono::seconds>;
   // A record packed into 72 bytes, so that a million submissions fit into a
   // small process.
   struct compact_record {
     packed_digest digest{};
-    std::int64_t accepted_ms = 0;
-    std::int64_t deadline_ms = 0;
+    record_time accepted;
+    record_time deadline;
     std::uint32_t service = 0;
     std::uint32_t owner = 0;
     std::uint32_t detail = 0;
@@ -117,8 +120,8 @@
   };
 
   static packed_digest PackDigest(const std::string& digest);
-  std::int64_t ExpirySecond(const uuid& submission,
-                            const compact_record& record) const;
+  expiry_second ExpirySecond(const uuid& submission,
+                             const compact_record& record) const;
   bool IsResend(const compact_record& record,
                 const ledger_claim_message& claim) const;
   ledger_claim_reply_message ReplyToExisting(
@@ -139,7 +142,7 @@
   wall_time now_{};
   std::unordered_map<uuid, compact_record> records_;
   // Ids of the records by the second of their expiry, in Unix time.
-  std::map<std::int64_t, std::vector<uuid>> expiries_;
+  std::map<expiry_second, std::vector<uuid>> expiries_;
   std::map<ledger_owner, std::set<uuid>> running_;
   intern_table<std::string> texts_;
   intern_table<ledger_owner> owners_;
