Keep the time of an id from wrapping around into the past

Callers: an id of version 7 whose time is after the year 2262 was refused as expired, or passed as recent, as the wrapped value happened to fall.

Cause: the id carries 48 bits of milliseconds, the clock counts nanoseconds in 64 bits, and the conversion overflows. Timestamp now returns the latest representable time instead. The one sum with it that could overflow then, in the lookup of a submission, is written as a difference. The ledger and the agent compare it without adding to it, or after they have refused an id that is too new.

--- a/src/libalmond/controllers/entry/submission_lookup.cc
+++ b/src/libalmond/controllers/entry/submission_lookup.cc
@@ -33,7 +33,7 @@
   active_submission* asked = FindActive(id, generation);
   if (asked == nullptr || asked->state != phase::looking_up) return;
   refusal cause = asked->cause;
-  const bool recent = id.Timestamp() + kAbsenceProofAge > clock_.WallNow();
+  const bool recent = id.Timestamp() > clock_.WallNow() - kAbsenceProofAge;
   if (reply && !reply->record && recent) {
     Refuse(id, cause);
     return;
--- a/src/libalmond/core/uuid.cc
+++ b/src/libalmond/core/uuid.cc
@@ -70,7 +70,10 @@
 wall_time uuid::Timestamp() const {
   std::uint64_t time = 0;
   for (std::size_t i = 0; i < 6; ++i) time = time << 8U | bytes_[i];
-  return wall_time(milliseconds(static_cast<std::int64_t>(time)));
+  // The 48 bits reach further than the clock's nanoseconds.
+  return wall_time(std::min(
+      milliseconds(static_cast<std::int64_t>(time)),
+      std::chrono::floor<milliseconds>(wall_time::max().time_since_epoch())));
 }
 
 std::string uuid::ToString() const {
--- a/src/libalmond/core/uuid.h
+++ b/src/libalmond/core/uuid.h
@@ -39,7 +39,8 @@
   int Version() const { return bytes_[6] >> 4; }
   /// @returns true if this is a version 7 UUID of the RFC's variant
   bool IsV7() const { return Version() == 7 && (bytes_[8] & 0xC0U) == 0x80U; }
-  /// @returns the wall-clock time that a version 7 UUID carries
+  /// @returns the wall-clock time that a version 7 UUID carries, or the latest
+  ///   representable one if that is later
   wall_time Timestamp() const;
   std::string ToString() const;
   /// @returns the 16 bytes in network order
--- a/tests/core/uuid_test.cc
+++ b/tests/core/uuid_test.cc
@@ -32,5 +32,14 @@
   CHECK_FALSE(uuid::Parse(text).has_value());
 }
 
+// Guards against an id whose timestamp wraps around into the past.
+TEST_CASE("uuid / timestamp beyond the clock's range / the latest time") {
+  const char* const text = GENERATE("08637bd0-5af7-7000-8000-000000000000",
+                                    "ffffffff-ffff-7fff-bfff-ffffffffffff");
+  const auto id = uuid::Parse(text);
+  REQUIRE(id);
+  CHECK(id->Timestamp() == std::chrono::floor<milliseconds>(wall_time::max()));
+}
+
 }  // namespace
 }  // namespace almond
