Destroy requests in flight and posted callbacks with the event loop

Callers see nothing of it, since a program ends its loop only when it exits.

Cause: a request of SendHttpRequest owned itself, and a posted callback kept itself alive. If the loop was destroyed first, neither was freed, nor the connection, nor anything the callback refers to. Since a control process asks the others while it has no place, so a test can end with such a request in flight, and the leak check at exit fails it.

Change: the loop owns what waits for it, and destroys it before its base. The same cause in the connection pool, whose ended connections were held by a posted callback: connections are owned by smart pointers there too.

--- a/src/libalmond/net/event_loop.cc
+++ b/src/libalmond/net/event_loop.cc
@@ -22,9 +22,7 @@
 struct event_handle::state {
   event* handle = nullptr;
   std::function<void()> callback;
-  // Keeps the state alive while a one-shot callback posted without a handle is
-  // pending.
-  std::shared_ptr<state> self;
+  event_loop* owner = nullptr;  ///< set if posted without a handle
 
   state() = default;
   state(const state&) = delete;
@@ -36,7 +34,8 @@
   static void Fire(evutil_socket_t /*descriptor*/, short /*flags*/,
                    void* argument) {
     auto* raw = static_cast<state*>(argument);
-    const std::shared_ptr<state> posted = std::move(raw->self);
+    const std::shared_ptr<void> posted =
+        raw->owner == nullptr ? nullptr : raw->owner->Release(raw);
     // The callback may destroy the handle and with it this state.
     const std::function<void()> callback = raw->callback;
     callback();
@@ -60,7 +59,24 @@
   std::signal(signal, SIG_IGN);
 }
 
-event_loop::~event_loop() { event_base_free(base_); }
+event_loop::~event_loop() {
+  // A destructor may post a callback.
+  while (!owned_.empty()) std::exchange(owned_, {}).clear();
+  event_base_free(base_);
+}
+
+void event_loop::Own(std::shared_ptr<void> object) {
+  const void* key = object.get();
+  owned_[key] = std::move(object);
+}
+
+std::shared_ptr<void> event_loop::Release(const void* object) {
+  const auto found = owned_.find(object);
+  if (found == owned_.end()) return nullptr;
+  std::shared_ptr<void> result = std::move(found->second);
+  owned_.erase(found);
+  return result;
+}
 
 void event_loop::Run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
 
@@ -93,8 +109,9 @@
 }
 
 void event_loop::Post(duration delay, std::function<void()> callback) {
-  event_handle handle = After(delay, std::move(callback));
-  handle.state_->self = handle.state_;
+  const event_handle handle = After(delay, std::move(callback));
+  handle.state_->owner = this;
+  Own(handle.state_);
 }
 
 event_handle event_loop::OnReadable(int descriptor,
--- a/src/libalmond/net/event_loop.h
+++ b/src/libalmond/net/event_loop.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <unordered_map>
 
 #include "libalmond/core/clock.h"
 
@@ -36,6 +37,8 @@
 class event_loop {
  public:
   event_loop();
+  /// Destroys the callbacks that have been posted and not called, and what the
+  /// loop owns.
   ~event_loop();
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
@@ -54,6 +57,13 @@
   /// @param delay time until the call
   /// @param callback called once; cannot be cancelled
   void Post(duration delay, std::function<void()> callback);
+  /// Owns an object until Release is called or the loop is destroyed. For
+  /// objects that wait for an event and that nothing else owns.
+  void Own(std::shared_ptr<void> object);
+  /// @param object an object that the loop owns; no effect for others
+  /// @returns the object
+  std::shared_ptr<void> Release(const void* object);
+
   /// @param signal signal number
   /// @param callback called on the loop for each signal
   event_handle OnSignal(int signal, std::function<void()> callback);
@@ -74,6 +84,7 @@
                    std::function<void()> callback);
 
   event_base* base_;
+  std::unordered_map<const void*, std::shared_ptr<void>> owned_;
 };
 
 }  // namespace almond
--- a/src/libalmond/net/http_connection_pool.cc
+++ b/src/libalmond/net/http_connection_pool.cc
@@ -18,7 +18,7 @@
 
 struct http_connection_pool::call {
   http_connection_pool* pool = nullptr;
-  evhttp_connection* connection = nullptr;
+  std::shared_ptr<evhttp_connection> connection;
   http_call_hook on_end;
   steady_time started_at;
   bool failed = false;
@@ -48,14 +48,11 @@
 
 http_connection_pool::~http_connection_pool() {
   *alive_ = false;
-  for (evhttp_connection* connection : idle_) {
-    evhttp_connection_free(connection);
-  }
   for (const auto& open : calls_) {
     // Ends the call without calling its hook.
-    evhttp_connection_set_closecb(open->connection, nullptr, nullptr);
+    evhttp_connection_set_closecb(open->connection.get(), nullptr, nullptr);
     open->on_end = nullptr;
-    evhttp_connection_free(open->connection);
+    open->connection.reset();
   }
 }
 
@@ -87,10 +84,10 @@
 }
 
 void http_connection_pool::Begin(const queued_request& next) {
-  evhttp_connection* connection = TakeConnection();
+  const std::shared_ptr<evhttp_connection> connection = TakeConnection();
   const timeval limit = {next.timeout.count() / 1000,
                          next.timeout.count() % 1000 * 1000};
-  evhttp_connection_set_timeout_tv(connection, &limit);
+  evhttp_connection_set_timeout_tv(connection.get(), &limit);
   calls_.push_back(std::make_unique<call>(
       call{this, connection, next.on_end, clock_.SteadyNow()}));
   call* started = calls_.back().get();
@@ -98,21 +95,24 @@
   evhttp_request_set_error_cb(message, &call::OnError);
   FillRequest(message, address_, next.request, "keep-alive");
   // On failure evhttp has freed the request; nothing was written.
-  if (evhttp_make_request(connection, message, HttpCommand(next.request.method),
+  if (evhttp_make_request(connection.get(), message,
+                          HttpCommand(next.request.method),
                           RequestTarget(next.request).c_str()) != 0) {
     Finish(started, false, {http_call_outcome::not_sent, {}});
   }
 }
 
-evhttp_connection* http_connection_pool::TakeConnection() {
+std::shared_ptr<evhttp_connection> http_connection_pool::TakeConnection() {
   if (!idle_.empty()) {
-    evhttp_connection* connection = idle_.back();
+    std::shared_ptr<evhttp_connection> connection = std::move(idle_.back());
     idle_.pop_back();
     return connection;
   }
-  evhttp_connection* connection = evhttp_connection_base_new(
-      loop_.Base(), nullptr, address_.ip.c_str(), address_.port);
-  evhttp_connection_set_max_body_size(connection, kMaxResponseBytes);
+  const std::shared_ptr<evhttp_connection> connection(
+      evhttp_connection_base_new(loop_.Base(), nullptr, address_.ip.c_str(),
+                                 address_.port),
+      &evhttp_connection_free);
+  evhttp_connection_set_max_body_size(connection.get(), kMaxResponseBytes);
   return connection;
 }
 
@@ -122,24 +122,23 @@
       std::find_if(calls_.begin(), calls_.end(),
                    [ended](const auto& open) { return open.get() == ended; });
   if (found == calls_.end() || !ended->on_end) return;
-  evhttp_connection* connection = ended->connection;
+  std::shared_ptr<evhttp_connection> connection = std::move(ended->connection);
   http_call_hook hook = std::move(ended->on_end);
   std::swap(*found, calls_.back());
   calls_.pop_back();
   // evhttp still uses the connection during its callback, so the connection is
   // reused or freed only afterwards.
   loop_.Post(milliseconds(0),
-             [this, alive = alive_, connection, reusable,
-              hook = std::move(hook), result = std::move(result)] {
-               if (reusable && *alive) {
+             [this, alive = alive_, connection = std::move(connection),
+              reusable, hook = std::move(hook), result = std::move(result)] {
+               if (!*alive) return;
+               if (reusable) {
                  // Otherwise the timeout of the last request would also close
                  // the idle connection.
-                 evhttp_connection_set_timeout_tv(connection, &kIdleTimeout);
+                 evhttp_connection_set_timeout_tv(connection.get(),
+                                                  &kIdleTimeout);
                  idle_.push_back(connection);
-               } else {
-                 evhttp_connection_free(connection);
                }
-               if (!*alive) return;
                SendQueued();
                if (*alive) hook(result);
              });
--- a/src/libalmond/net/http_connection_pool.h
+++ b/src/libalmond/net/http_connection_pool.h
@@ -58,13 +58,13 @@
   std::size_t InFlight() const;
   void SendQueued();
   void Begin(const queued_request& next);
-  evhttp_connection* TakeConnection();
+  std::shared_ptr<evhttp_connection> TakeConnection();
   void Finish(call* ended, bool reusable, http_call_result result);
 
   event_loop& loop_;
   const clock_interface& clock_;
   socket_address address_;
-  std::vector<evhttp_connection*> idle_;
+  std::vector<std::shared_ptr<evhttp_connection>> idle_;
   std::vector<std::unique_ptr<call>> calls_;
   std::deque<queued_request> queue_;
   event_handle stall_timer_;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -4,6 +4,7 @@
 
 #include "libalmond/net/http_server.h"
 #include "libalmond/net/peer_listener.h"
+#include "net/loop_iterations.h"
 
 namespace almond {
 namespace {
@@ -82,5 +83,51 @@
   CHECK(seen.body == "body");
 }
 
+// Guards against a request, its connection and its callback that are never
+// destroyed.
+TEST_CASE_METHOD(http_client_fixture,
+                 "http call / loop ends while it is in flight / destroyed "
+                 "without a result") {
+  auto captured = std::make_shared<int>();
+  const std::weak_ptr<int> observed = captured;
+  int calls = 0;
+  std::shared_ptr<peer_link> open;
+  peer_listener listener(loop_, clock_, [&](std::shared_ptr<peer_link> link) {
+    open = std::move(link);
+    loop_.Stop();
+  });
+  REQUIRE(listener.Listen(kAnyPort));
+  {
+    event_loop other;
+    SendHttpRequest(other, listener.Address(), {"GET", "/", "", {}, ""},
+                    milliseconds(20000),
+                    [&calls, captured = std::move(captured)](
+                        const http_call_result& /*result*/) { ++calls; });
+    RunIterations(other, 2);
+    loop_.Run();
+  }
+  CHECK(observed.expired());
+  CHECK(calls == 0);
+}
+
+// Guards against a connection that is never closed.
+TEST_CASE_METHOD(http_client_fixture,
+                 "http call / loop ends before the result is delivered / "
+                 "destroyed") {
+  for (int iterations = 0; iterations < 10; ++iterations) {
+    auto captured = std::make_shared<int>();
+    const std::weak_ptr<int> observed = captured;
+    {
+      event_loop other;
+      SendHttpRequest(
+          other, {"127.0.0.1", 1}, {"GET", "/", "", {}, ""}, milliseconds(500),
+          [captured = std::move(captured)](const http_call_result& /*result*/) {
+          });
+      RunIterations(other, iterations);
+    }
+    CHECK(observed.expired());
+  }
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/net/http_connection_pool_test.cc
+++ b/tests/net/http_connection_pool_test.cc
@@ -8,6 +8,7 @@
 
 #include "libalmond/net/http_server.h"
 #include "libalmond/net/socket_util.h"
+#include "net/loop_iterations.h"
 
 namespace almond {
 namespace {
@@ -150,5 +151,24 @@
   CHECK(results_.empty());
 }
 
+// Guards against a connection that is never closed.
+TEST_CASE_METHOD(http_pool_fixture,
+                 "http pool / loop ends before a result is delivered / "
+                 "destroyed") {
+  for (int iterations = 0; iterations < 10; ++iterations) {
+    auto captured = std::make_shared<int>();
+    const std::weak_ptr<int> observed = captured;
+    {
+      event_loop other;
+      http_connection_pool pool(other, clock_, {"127.0.0.1", 1});
+      pool.Send({"GET", "/", "", {}, ""}, milliseconds(500),
+                [captured = std::move(captured)](
+                    const http_call_result& /*result*/) {});
+      RunIterations(other, iterations);
+    }
+    CHECK(observed.expired());
+  }
+}
+
 }  // namespace
 }  // namespace almond
