Give the control tests ports that no other test takes

Seen: "control process / replaced at another address" failed in 1 of 16 and in 2 of 96 runs under sanitizers, run in parallel: a control process could not bind its port at the start.

Cause: the fixture chose ephemeral ports, gave all of them back at the first start, and bound them later. Meanwhile an outgoing connection or the fixture of another test could take one.

Change: each test process has a block of ports below the ephemeral range, and a port is given back just before its own process starts. No check changes. platform_programs already chose ports below that range.

--- a/tests/control/control_process_test.cc
+++ b/tests/control/control_process_test.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <nlohmann/json.hpp>
 
+#include "control/port_reservation.h"
 #include "libalmond/core/digest.h"
 #include "libalmond/net/http_client.h"
 #include "libalmond/processes/control_client_link.h"
@@ -29,8 +30,8 @@
       loop_.Stop();
     });
     for (std::size_t i = 0; i < kReplicas; ++i) {
-      replicas_.push_back(
-          {"c" + std::to_string(i), FreePort(), FreePort(), FreePort()});
+      replicas_.push_back({"c" + std::to_string(i), ports_.Reserve(),
+                           ports_.Reserve(), ports_.Reserve()});
       addresses_.push_back(replicas_.back().control);
     }
     for (std::size_t i = 0; i < kReplicas; ++i) Start(i, true);
@@ -42,16 +43,14 @@
     std::filesystem::remove_all(folder_);
   }
 
-  // Each port stays bound until all are chosen, so that they differ.
-  socket_address FreePort() {
-    held_.push_back(std::make_unique<peer_listener>(
-        loop_, clock_, [](const std::shared_ptr<peer_link>&) {}));
-    REQUIRE(held_.back()->Listen({"127.0.0.1", 0}));
-    return held_.back()->Address();
+  void ReleasePorts(const control_address& addresses) {
+    ports_.Release(addresses.peer);
+    ports_.Release(addresses.control);
+    ports_.Release(*addresses.http);
   }
   void Start(std::size_t index, bool bootstrap) {
-    held_.clear();
     const control_address& self = replicas_[index];
+    ReleasePorts(self);
     processes_[index] = std::make_unique<control_process>(
         loop_, clock_,
         control_settings{self.id, "test", data_centre_id("nl-west-1"),
@@ -144,7 +143,7 @@
   event_handle limit_;
   std::vector<control_address> replicas_;
   std::vector<socket_address> addresses_;
-  std::vector<std::unique_ptr<peer_listener>> held_;
+  port_reservation ports_;
   std::map<std::size_t, std::unique_ptr<control_process>> processes_;
   std::unique_ptr<control_client_link> client_;
   std::vector<entry_address> entries_;
@@ -203,11 +202,13 @@
   Leader();
   processes_.erase(2);
   std::filesystem::remove_all(folder_ + "/" + replicas_[2].id);
+  const control_address moved_to{replicas_[2].id, ports_.Reserve(),
+                                 ports_.Reserve(), ports_.Reserve()};
+  ReleasePorts(moved_to);
   control_settings settings{
-      replicas_[2].id, "test",           data_centre_id("nl-west-1"),
-      replicas_,       FreePort(),       FreePort(),
-      FreePort(),      folder_ + "/new", false};
-  held_.clear();
+      moved_to.id,    "test",           data_centre_id("nl-west-1"),
+      replicas_,      moved_to.peer,    moved_to.control,
+      *moved_to.http, folder_ + "/new", false};
   processes_[2] =
       std::make_unique<control_process>(loop_, clock_, std::move(settings));
   REQUIRE(processes_[2]->Start() == std::nullopt);
--- a/tests/control/control_standby_test.cc
+++ b/tests/control/control_standby_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "control/port_reservation.h"
 #include "libalmond/net/http_client.h"
 #include "libalmond/net/peer_dialer.h"
 #include "libalmond/processes/control_process_codec.h"
@@ -27,19 +28,13 @@
       loop_.Stop();
     });
     REQUIRE(leader_.Listen({"127.0.0.1", 0}));
-    own_ = {"", FreePort(), FreePort(), FreePort()};
-    held_.clear();
+    own_ = {"", ports_.Reserve(), ports_.Reserve(), ports_.Reserve()};
+    ports_.Release(own_.control);
+    ports_.Release(*own_.http);
     replicas_ = {Replica("a", "leader", leader_.Address().ToString())};
     replicas_.push_back(Replica("b", "follower", "127.0.0.9:3"));
   }
 
-  // Each port stays bound until all are chosen, so that they differ.
-  socket_address FreePort() {
-    held_.push_back(std::make_unique<peer_listener>(
-        loop_, clock_, [](const std::shared_ptr<peer_link>&) {}));
-    REQUIRE(held_.back()->Listen({"127.0.0.1", 0}));
-    return held_.back()->Address();
-  }
   static replica_summary Replica(const std::string& id, const std::string& role,
                                  const std::string& http) {
     replica_summary replica;
@@ -93,7 +88,7 @@
   event_handle limit_;
   http_server leader_;
   control_address own_;
-  std::vector<std::unique_ptr<peer_listener>> held_;
+  port_reservation ports_;
   std::vector<replica_summary> replicas_;
   std::vector<replica_claim> claims_;
   std::size_t refused_claims_ = 0;
