Let two returned locals be moved

Seen: the linter refused: a const local that is returned is copied (performance-no-automatic-move), in the connection pool and in the tests' port_reservation. The change is without effect on behaviour.

--- a/src/libalmond/net/http_connection_pool.cc
+++ b/src/libalmond/net/http_connection_pool.cc
@@ -108,7 +108,7 @@
     idle_.pop_back();
     return connection;
   }
-  const std::shared_ptr<evhttp_connection> connection(
+  std::shared_ptr<evhttp_connection> connection(
       evhttp_connection_base_new(loop_.Base(), nullptr, address_.ip.c_str(),
                                  address_.port),
       &evhttp_connection_free);
--- a/tests/control/port_reservation.h
+++ b/tests/control/port_reservation.h
@@ -29,7 +29,7 @@
       const auto port = static_cast<std::uint16_t>(
           kFirstPort + getpid() % kBlocks * kBlockPorts + next_);
       next_ = (next_ + 1) % kBlockPorts;
-      const socket_address address{"127.0.0.1", port};
+      socket_address address{"127.0.0.1", port};
       const sockaddr_in raw = ToSockaddr(address);
       const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       if (bind(descriptor, reinterpret_cast<const sockaddr*>(&raw),
