Log how control processes answer operators' changes

The logs could not tell whether the operator's calls waited at a frozen process, were sent there by a follower, or were answered and the answer was lost.

--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -6,6 +6,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/net/http_client.h"
+#include "libalmond/processes/operator_log.h"
 #include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
 
@@ -19,15 +20,15 @@
       random_(std::random_device{}()),
       service_(clock, machine_, metrics_, ServiceHooks()),
       api_(service_, machine_, metrics_, ApiHooks()),
-      http_(
-          loop,
-          [this](const http_request& request,
-                 const http_server::responder& respond) {
-            if (operator_interface_ && operator_interface_(request, respond)) {
-              return;
-            }
-            api_.Handle(request, respond);
-          }),
+      http_(loop,
+            [this](const http_request& request,
+                   const http_server::responder& respond) {
+              const auto logged = LogAnswer(clock_, request, respond);
+              if (operator_interface_ && operator_interface_(request, logged)) {
+                return;
+              }
+              api_.Handle(request, logged);
+            }),
       listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
         OnAccept(link);
       }) {}
--- a/src/libalmond/processes/control_standby.cc
+++ b/src/libalmond/processes/control_standby.cc
@@ -4,6 +4,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/control_process_codec.h"
+#include "libalmond/processes/operator_log.h"
 #include "libalmond/wire/control_codec.h"
 
 namespace almond {
@@ -14,15 +15,15 @@
     : settings_(std::move(configured)),
       finder_(loop, settings_.own, settings_.http_addresses,
               FinderHooks(on_claimed)),
-      http_(
-          loop,
-          [this](const http_request& request,
-                 const http_server::responder& respond) {
-            if (operator_interface_ && operator_interface_(request, respond)) {
-              return;
-            }
-            respond(NotLeaderResponse(LeaderHttpAddress()));
-          }),
+      http_(loop,
+            [this, &clock](const http_request& request,
+                           const http_server::responder& respond) {
+              const auto logged = LogAnswer(clock, request, respond);
+              if (operator_interface_ && operator_interface_(request, logged)) {
+                return;
+              }
+              logged(NotLeaderResponse(LeaderHttpAddress()));
+            }),
       listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
         OnAccept(link);
       }) {}
