Name only a live leader to operators and processes

A follower sent operators and processes to a frozen leader with 307 until the next election, 400 to 700 ms; an operator's call waits there for a second. A leader that was suspended took itself for the leader until its first tick.

Cause: the leader's identity was used as a permission without a time.

Change: replica::LiveLeader names a leader only within 300 ms of its last message, and itself only while it has contact with a majority; redirects, refusals and the control service use it.

--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -164,7 +164,7 @@
 }
 
 std::optional<control_address> control_process::LeaderAddress() const {
-  const std::string leader = LeaderId();
+  const std::string leader = host_ ? host_->LiveLeaderId().Value() : "";
   for (const control_address& replica : ReplicaAddresses()) {
     if (replica.id == leader) return replica;
   }
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -60,8 +60,11 @@
   /// @returns the leader's HTTP address, empty if unknown
   std::string LeaderHttpAddress() const;
 
-  /// @returns true if this replica is the leader
-  bool IsLeader() const { return host_ && host_->IsLeader(); }
+  /// @returns true if this replica is the leader and has contact with a
+  ///   majority
+  bool IsLeader() const {
+    return host_ && host_->LiveLeaderId() == replica_id(settings_.id);
+  }
   const socket_address& HttpAddress() const { return http_.Address(); }
   const socket_address& ControlAddress() const { return listener_.Address(); }
 
@@ -78,6 +81,7 @@
   std::optional<std::string> StartHost();
   std::string Apply(const std::string& command);
   std::string LeaderId() const;
+  /// @returns the addresses of the leader, or nothing if none is live
   std::optional<control_address> LeaderAddress() const;
   /// @returns the current addresses of all replicas
   std::vector<control_address> ReplicaAddresses() const;
--- a/src/libalmond/processes/replica_host.cc
+++ b/src/libalmond/processes/replica_host.cc
@@ -88,6 +88,10 @@
 
 replica_id replica_host::LeaderId() const { return Status().leader; }
 
+replica_id replica_host::LiveLeaderId() const {
+  return implementation_->LiveLeader();
+}
+
 replica_status replica_host::Status() const {
   return implementation_->Replica().Status();
 }
--- a/src/libalmond/processes/replica_host.h
+++ b/src/libalmond/processes/replica_host.h
@@ -92,6 +92,9 @@
   std::optional<replica_address> Leader() const;
   /// @returns the leader's id, empty if no leader is known
   replica_id LeaderId() const;
+  /// @returns the leader to which others may be directed, see
+  ///   replica::LiveLeader
+  replica_id LiveLeaderId() const;
   replica_status Status() const;
 
   /// Maximum size of a command in bytes; a larger one ends as `not_leader`.
--- a/src/libalmond/processes/replica_host_implementation.h
+++ b/src/libalmond/processes/replica_host_implementation.h
@@ -27,6 +27,9 @@
   void ConfirmRead(read_hook on_end);
   void SetPeerAddress(const replica_id& id, const socket_address& replication);
   const replica& Replica() const { return replica_; }
+  replica_id LiveLeader() const {
+    return replica_.LiveLeader(clock_.SteadyNow());
+  }
   const replica_address* AddressOf(const replica_id& id) const;
 
  private:
--- a/src/libalmond/replication/replica.cc
+++ b/src/libalmond/replication/replica.cc
@@ -23,7 +23,9 @@
 
 void replica::Tick(steady_time now) {
   if (role_ == replica_role::leader) {
-    CheckQuorumContact(now);
+    if (HasQuorumContact(now)) return;
+    BecomeFollower(vote_.term, replica_id());
+    ResetElectionTimer(now);
   } else if (now >= election_deadline_) {
     if (IsVoter()) {
       StartElection(true, now);
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -54,6 +54,10 @@
   /// A leader that receives no replies from a majority for this time steps
   /// down.
   static constexpr milliseconds kLeaderContactTimeout{600};
+  /// Time without contact after which a leader is not named to others any more:
+  /// it may be frozen or cut off. Several heartbeats, and shorter than the
+  /// election timeouts.
+  static constexpr milliseconds kLeaderSilenceTimeout{300};
   /// Number of entries that a leader sends to a replica without waiting for its
   /// acknowledgement.
   static constexpr log_index kMaxInFlightEntries = 4096;
@@ -89,6 +93,11 @@
 
   bool IsLeader() const { return role_ == replica_role::leader; }
   replica_status Status() const;
+  /// @returns the leader that may be named to others: this replica while it has
+  ///   contact with a majority, or one that it has heard from within
+  ///   kLeaderSilenceTimeout; else empty. A replica that was suspended may take
+  ///   itself for the leader until its next Tick.
+  replica_id LiveLeader(steady_time now) const;
 
  private:
   struct pending_read {
@@ -132,7 +141,7 @@
 
   // Leader, see replica_leader.cc.
   void BecomeLeader(steady_time now);
-  void CheckQuorumContact(steady_time now);
+  bool HasQuorumContact(steady_time now) const;
   void Broadcast(steady_time now);
   void SendAppend(const replica_id& to, follower_progress& progress,
                   bool heartbeat);
--- a/src/libalmond/replication/replica_election.cc
+++ b/src/libalmond/replication/replica_election.cc
@@ -16,6 +16,14 @@
           now - *last_leader_contact_ < kMinElectionTimeout);
 }
 
+replica_id replica::LiveLeader(steady_time now) const {
+  const bool live = role_ == replica_role::leader
+                        ? HasQuorumContact(now)
+                        : last_leader_contact_ && now - *last_leader_contact_ <
+                                                      kLeaderSilenceTimeout;
+  return live ? leader_ : replica_id();
+}
+
 void replica::ResetElectionTimer(steady_time now) {
   const bool first = !last_leader_contact_ && role_ != replica_role::leader;
   std::uniform_int_distribution<milliseconds::rep> wait(
--- a/src/libalmond/replication/replica_leader.cc
+++ b/src/libalmond/replication/replica_leader.cc
@@ -45,14 +45,12 @@
   AdvanceCommit();
 }
 
-void replica::CheckQuorumContact(steady_time now) {
-  if (now - leadership_start_ < kLeaderContactTimeout) return;
+bool replica::HasQuorumContact(steady_time now) const {
+  if (now - leadership_start_ < kLeaderContactTimeout) return true;
   const auto contact = QuorumValue<steady_time>(
       now,
       [](const follower_progress& progress) { return progress.LastContact(); });
-  if (contact && now - *contact < kLeaderContactTimeout) return;
-  BecomeFollower(vote_.term, replica_id());
-  ResetElectionTimer(now);
+  return contact && now - *contact < kLeaderContactTimeout;
 }
 
 void replica::Broadcast(steady_time now) {
--- a/tests/replication/log_simulation.h
+++ b/tests/replication/log_simulation.h
@@ -59,6 +59,11 @@
   bool Admitted(int replica) const;
 
   simulated_replica& Replica(int replica) { return *replicas_[replica]; }
+  /// @returns the leader that a running replica names to others after a further
+  ///   time in which it handles nothing
+  replica_id LiveLeader(int replica, milliseconds later = {}) const {
+    return replicas_[replica]->LiveLeader(now_ + later);
+  }
   log_history& History() { return history_; }
 
  private:
--- a/tests/replication/replica_start_test.cc
+++ b/tests/replication/replica_start_test.cc
@@ -36,6 +36,39 @@
   CHECK(slow <= 4);
 }
 
+// Guards against operators and processes that are sent to a frozen leader until
+// the next election.
+TEST_CASE_METHOD(replica_start_fixture,
+                 "replica / leader silent / not named before the election") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    log_simulation simulation(seed, kReplicas);
+    REQUIRE(AwaitLeader(simulation, milliseconds(10000)));
+    simulation.RunUntil(milliseconds(1000), [] { return false; });
+    const int leader = simulation.Leader();
+    const int other = (leader + 1) % kReplicas;
+    const replica_id id = simulation.Replica(leader).Id();
+    REQUIRE(simulation.LiveLeader(other) == id);
+    simulation.Kill(leader);
+    simulation.RunUntil(replica::kLeaderSilenceTimeout + milliseconds(40),
+                        [] { return false; });
+    CHECK(simulation.LiveLeader(other).Empty());
+  }
+}
+
+// Guards against a leader that answers as such after it was suspended, before
+// its first tick.
+TEST_CASE_METHOD(replica_start_fixture,
+                 "replica / leader suspended / no longer names itself") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    log_simulation simulation(seed, kReplicas);
+    REQUIRE(AwaitLeader(simulation, milliseconds(10000)));
+    simulation.RunUntil(milliseconds(1000), [] { return false; });
+    const int leader = simulation.Leader();
+    CHECK(simulation.LiveLeader(leader) == simulation.Replica(leader).Id());
+    CHECK(simulation.LiveLeader(leader, milliseconds(2000)).Empty());
+  }
+}
+
 // Guards against a restarted replica that deposes the current leader.
 TEST_CASE_METHOD(replica_start_fixture,
                  "replica / one follower restarts / leader stays") {
--- a/tests/replication/simulated_replica.h
+++ b/tests/replication/simulated_replica.h
@@ -36,6 +36,9 @@
 
   bool Running() const { return replica_ != nullptr; }
   replica_status Status() const { return replica_->Status(); }
+  replica_id LiveLeader(steady_time now) const {
+    return replica_->LiveLeader(now);
+  }
   replica_incarnation Incarnation() const { return settings_.incarnation; }
   const replica_id& Id() const { return settings_.self; }
 
