Leave the list of entries out of heartbeat replies that repeat it

At 300 machines the leader answered 1,200 heartbeats a second with the list of all 60 entries, about 3 KB each and 3.6 MB a second, and went through all processes for each of them; CAPACITY.md computes 25.9 MB a second at the planned size.

A heartbeat now carries the digest of the list that its sender has, and the reply leaves out a list with the same digest. The leader determines the live processes every 100 ms and when one appears, not at each heartbeat.

Peers of earlier releases send no digest and get the full list; without a digest in the reply the list is taken as before. A late reply that refers to another list than the present one is ignored, which a test holds.

--- a/src/libalmond/controllers/control/control_service.cc
+++ b/src/libalmond/controllers/control/control_service.cc
@@ -150,7 +150,11 @@
   // A leader that has been replaced and does not know it yet may report an
   // older version; processes ignore versions below their own.
   reply.newest = machine_.Config().Newest();
-  reply.entries = directory_.LiveEntries();
+  const live_processes& live = directory_.LiveProcesses();
+  reply.entries_digest = live.entries_digest;
+  reply.entries_omitted = message.entries_digest == live.entries_digest;
+  if (!reply.entries_omitted) reply.entries = live.entries;
+  reply.alike_agents = directory_.AlikeAgents(message.endpoint_kind);
   if (message.role == process_role::entry) {
     reply.takeovers = machine_.Ledger().TakenOver(
         {entry_id(message.id), message.incarnation}, kMaxTakeoversPerReply);
--- a/src/libalmond/controllers/control/process_directory.cc
+++ b/src/libalmond/controllers/control/process_directory.cc
@@ -1,8 +1,36 @@
 #include "libalmond/controllers/control/process_directory.h"
 
 #include <algorithm>
+#include <string>
+
+#include "libalmond/core/digest.h"
 
 namespace almond {
+namespace {
+
+/// @returns a number other than 0 that depends on all fields of the entries
+std::uint64_t Digest(const std::vector<entry_address>& entries) {
+  std::string fields;
+  for (const entry_address& entry : entries) {
+    fields += entry.entry.Value() + '\n' +
+              std::to_string(entry.incarnation.Value()) + '\n' +
+              entry.data_centre.Value() + '\n' + entry.peer_address + '\n';
+  }
+  constexpr std::size_t kHexDigits = 16;
+  constexpr int kBase = 16;
+  const std::string digest = Sha256({fields}).substr(0, kHexDigits);
+  return std::max<std::uint64_t>(1, std::stoull(digest, nullptr, kBase));
+}
+
+/// @returns true if the heartbeats differ in what others are told
+bool Differ(const heartbeat_message& left, const heartbeat_message& right) {
+  return left.incarnation != right.incarnation ||
+         left.data_centre != right.data_centre ||
+         left.peer_address != right.peer_address ||
+         left.endpoint_kind != right.endpoint_kind;
+}
+
+}  // namespace
 
 process_directory::process_directory(const clock_interface& clock)
     : clock_(clock), grace_start_(clock.SteadyNow()) {}
@@ -18,6 +46,10 @@
       heartbeat.incarnation < known->second.heartbeat.incarnation) {
     return;
   }
+  if (known == processes_.end() || !IsLive(known->second) ||
+      Differ(heartbeat, known->second.heartbeat)) {
+    live_determined_.reset();
+  }
   processes_[name] = {heartbeat, clock_.SteadyNow()};
   if (heartbeat.role == process_role::entry) {
     RecordOwnerContact({entry_id(heartbeat.id), heartbeat.incarnation});
@@ -49,6 +81,32 @@
   return entries;
 }
 
+const live_processes& process_directory::LiveProcesses() {
+  const steady_time now = clock_.SteadyNow();
+  if (live_determined_ && now - *live_determined_ < kLiveProcessesPeriod) {
+    return live_;
+  }
+  live_determined_ = now;
+  live_.entries = LiveEntries();
+  live_.entries_digest = Digest(live_.entries);
+  live_.agents_by_kind.clear();
+  for (const auto& [name, listed] : processes_) {
+    const std::string& kind = listed.heartbeat.endpoint_kind;
+    if (!kind.empty() && IsLive(listed)) ++live_.agents_by_kind[kind];
+  }
+  return live_;
+}
+
+std::uint32_t process_directory::AlikeAgents(const std::string& endpoint_kind) {
+  if (endpoint_kind.empty() ||
+      clock_.SteadyNow() - grace_start_ < kLivenessTimeout) {
+    return 0;
+  }
+  const auto& numbers = LiveProcesses().agents_by_kind;
+  const auto found = numbers.find(endpoint_kind);
+  return found == numbers.end() ? 0 : found->second;
+}
+
 std::vector<process_status> process_directory::Processes() const {
   std::vector<process_status> result;
   const steady_time now = clock_.SteadyNow();
--- a/src/libalmond/controllers/control/process_directory.h
+++ b/src/libalmond/controllers/control/process_directory.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_CONTROLLERS_CONTROL_PROCESS_DIRECTORY_H_
 #define ALMOND_CONTROLLERS_CONTROL_PROCESS_DIRECTORY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,6 +20,14 @@
   duration age{0};              ///< time since the latest heartbeat
 };
 
+/// What heartbeat replies say about the live processes.
+struct live_processes {
+  std::vector<entry_address> entries;  ///< ordered by id
+  std::uint64_t entries_digest = 0;    ///< equal lists have equal digests
+  /// Numbers of agents by the kind of their endpoints.
+  std::map<std::string, std::uint32_t> agents_by_kind;
+};
+
 /// Tracks entries and agents by their heartbeats. Soft state of the control
 /// leader: a new leader rebuilds it from the heartbeats that it receives.
 class process_directory {
@@ -30,6 +39,9 @@
   static constexpr milliseconds kOwnerTimeout{4000};
   /// Time for which a silent process stays in the list for operators.
   static constexpr std::chrono::minutes kRetentionPeriod{10};
+  /// Time after which the live processes are determined again, so that a
+  /// heartbeat does not cost time for each process.
+  static constexpr milliseconds kLiveProcessesPeriod{100};
 
   /// @param clock source of time; outlives the directory
   explicit process_directory(const clock_interface& clock);
@@ -48,6 +60,13 @@
 
   /// @returns the live entries, ordered by id
   std::vector<entry_address> LiveEntries() const;
+  /// @returns the live processes, at most kLiveProcessesPeriod old and never
+  ///   without a process whose heartbeat was recorded
+  const live_processes& LiveProcesses();
+  /// @returns number of live agents with endpoints of this kind; 0 if the kind
+  ///   is empty, or until all live agents have sent a heartbeat after
+  ///   RestartGracePeriod
+  std::uint32_t AlikeAgents(const std::string& endpoint_kind);
   /// @returns all processes with a heartbeat within kRetentionPeriod
   std::vector<process_status> Processes() const;
   /// @returns true if there was no contact with the owner for kOwnerTimeout, or
@@ -73,6 +92,8 @@
   const clock_interface& clock_;
   steady_time grace_start_;
   std::map<key, process> processes_;
+  live_processes live_;
+  std::optional<steady_time> live_determined_;  ///< empty if outdated
   std::map<ledger_owner, steady_time> owners_;  // time of the last contact
 };
 
--- a/src/libalmond/core/control_messages.h
+++ b/src/libalmond/core/control_messages.h
@@ -49,6 +49,11 @@
   std::string http_address;
   config_version version;
   bool leaving = false;
+  /// Digest of the list of entries that the process has; 0 if it has none.
+  std::uint64_t entries_digest = 0;
+  /// Of an agent: describes the service and the size of its endpoints. Agents
+  /// with the same text can run the same tasks.
+  std::string endpoint_kind = {};
 };
 
 /// A live entry, as listed to agents and operators.
@@ -67,6 +72,12 @@
   std::vector<entry_address> entries;
   /// Submissions that this entry has taken over and must bring to an end.
   std::vector<ledger_record> takeovers;
+  /// Digest of the list of live entries.
+  std::uint64_t entries_digest = 0;
+  /// The process has the list with this digest, and `entries` is empty.
+  bool entries_omitted = false;
+  /// Number of live agents with the process's endpoint kind; 0 if unknown.
+  std::uint32_t alike_agents = 0;
 };
 
 /// Process to control leader: requests the newest accepted configuration.
--- a/src/libalmond/processes/control_client.cc
+++ b/src/libalmond/processes/control_client.cc
@@ -44,7 +44,9 @@
 void control_client::SendHeartbeat() {
   last_heartbeat_ = clock_.SteadyNow();
   if (!connected_) return;
-  hooks_.send(EncodeControlRequest(++last_number_, hooks_.heartbeat()));
+  heartbeat_message heartbeat = hooks_.heartbeat();
+  heartbeat.entries_digest = entries_digest_;
+  hooks_.send(EncodeControlRequest(++last_number_, std::move(heartbeat)));
 }
 
 void control_client::Tick() {
@@ -201,7 +203,7 @@
   redial_pending_ = false;
   if (!std::exchange(leader_confirmed_, true)) SendOpenRequests(duration(0));
   hooks_.on_newest(reply.newest);
-  hooks_.on_entries(reply.entries);
+  ReportEntries(reply);
   for (const ledger_record& record : reply.takeovers) {
     hooks_.on_takeover(record);
   }
@@ -210,6 +212,18 @@
   }
 }
 
+void control_client::ReportEntries(const heartbeat_reply_message& reply) {
+  // A list that was omitted against another digest than the present one is
+  // requested again by the next heartbeat.
+  if (reply.entries_omitted && reply.entries_digest != entries_digest_) return;
+  if (!reply.entries_omitted) {
+    entries_ = reply.entries;
+    entries_digest_ = reply.entries_digest;
+  }
+  if (hooks_.on_alike_agents) hooks_.on_alike_agents(reply.alike_agents);
+  hooks_.on_entries(entries_);
+}
+
 void control_client::FetchConfig() {
   const steady_time now = clock_.SteadyNow();
   if (config_fetch_ && now - config_fetch_sent_ < kConfigFetchTimeout) return;
--- a/src/libalmond/processes/control_client.h
+++ b/src/libalmond/processes/control_client.h
@@ -66,7 +66,7 @@
     std::function<void(const frame&)> send;
     /// @returns this process's heartbeat with its active configuration version
     std::function<heartbeat_message()> heartbeat;
-    /// Called with the live entries of each heartbeat reply.
+    /// Called with the live entries at each heartbeat reply.
     std::function<void(const std::vector<entry_address>&)> on_entries;
     /// Called with each submission that this entry has to finish for its failed
     /// owner; repeated with each heartbeat reply until the ledger has its end.
@@ -76,6 +76,9 @@
     /// Called with a configuration from the leader; without this hook the
     /// client fetches none.
     std::function<void(config_version, const std::string&)> on_config;
+    /// Called before on_entries with the number of live agents that have
+    /// endpoints of the same kind, or 0 if unknown; may be empty.
+    std::function<void(std::uint32_t)> on_alike_agents = {};
   };
   /// Called once with the reply, or with nothing after the timeout.
   template <typename Reply>
@@ -138,6 +141,7 @@
   void PursueAbandonedClaim(const ledger_claim_message& claim);
   void OnNotLeader(std::uint64_t number, const not_leader_message& message);
   void OnHeartbeatReply(const heartbeat_reply_message& reply);
+  void ReportEntries(const heartbeat_reply_message& reply);
   void FetchConfig();
   void OnConfigReply(const fetch_config_reply_message& reply);
   void ScheduleRedial(std::optional<socket_address> address);
@@ -161,6 +165,8 @@
   steady_time last_reply_;
   steady_time last_heartbeat_;
   std::optional<steady_time> last_leader_reply_;
+  std::vector<entry_address> entries_;  ///< live entries
+  std::uint64_t entries_digest_ = 0;    ///< of `entries_`, 0 if unknown
   std::uint64_t last_number_ = 0;
   /// Number of the unanswered fetch of the configuration on this connection.
   std::optional<std::uint64_t> config_fetch_;
--- a/src/libalmond/wire/control.thrift
+++ b/src/libalmond/wire/control.thrift
@@ -10,10 +10,14 @@
 }
 struct Heartbeat {
   1: i64 request, 2: i8 role, 3: string id, 4: i64 incarnation, 5: string data_centre,
-  6: string peer_address, 7: string http_address, 8: i64 version, 9: bool leaving
+  6: string peer_address, 7: string http_address, 8: i64 version, 9: bool leaving,
+  10: i64 entries_digest, 11: string endpoint_kind
 }
 struct EntryAddress { 1: string entry, 2: i64 incarnation, 3: string data_centre, 4: string peer_address }
-struct HeartbeatReply { 1: i64 request, 2: i64 newest, 3: list<EntryAddress> entries, 4: list<LedgerRecord> takeovers }
+struct HeartbeatReply {
+  1: i64 request, 2: i64 newest, 3: list<EntryAddress> entries, 4: list<LedgerRecord> takeovers,
+  5: i64 entries_digest, 6: bool entries_omitted, 7: i32 alike_agents
+}
 struct FetchConfig { 1: i64 request }
 struct FetchConfigReply { 1: i64 request, 2: i64 version, 3: binary document }
 struct LedgerClaim {
--- a/src/libalmond/wire/control_codec.cc
+++ b/src/libalmond/wire/control_codec.cc
@@ -98,6 +98,8 @@
   result.http_address = message.http_address;
   result.version = ToWire(message.version);
   result.leaving = message.leaving;
+  result.entries_digest = static_cast<std::int64_t>(message.entries_digest);
+  result.endpoint_kind = message.endpoint_kind;
   return MakeFrame(frame_type::heartbeat, number, result);
 }
 
@@ -109,6 +111,8 @@
   message.http_address = std::move(encoded.http_address);
   message.version = NumberFromWire<config_version>(encoded.version);
   message.leaving = encoded.leaving;
+  message.entries_digest = static_cast<std::uint64_t>(encoded.entries_digest);
+  message.endpoint_kind = std::move(encoded.endpoint_kind);
   return EnumFromWire(encoded.role, process_role::agent, message.role);
 }
 
@@ -184,6 +188,9 @@
   for (const ledger_record& record : message.takeovers) {
     result.takeovers.push_back(Encode(record));
   }
+  result.entries_digest = static_cast<std::int64_t>(message.entries_digest);
+  result.entries_omitted = message.entries_omitted;
+  result.alike_agents = static_cast<std::int32_t>(message.alike_agents);
   return MakeFrame(frame_type::heartbeat_reply, number, result);
 }
 
@@ -200,6 +207,9 @@
   for (wire::LedgerRecord& record : encoded.takeovers) {
     if (!Decode(record, message.takeovers.emplace_back())) return false;
   }
+  message.entries_digest = static_cast<std::uint64_t>(encoded.entries_digest);
+  message.entries_omitted = encoded.entries_omitted;
+  message.alike_agents = CountFromWire(encoded.alike_agents);
   return true;
 }
 
--- a/src/libalmond/wire/gen/control_types.cpp
+++ b/src/libalmond/wire/gen/control_types.cpp
@@ -519,6 +519,14 @@
 void Heartbeat::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void Heartbeat::__set_entries_digest(const int64_t val) {
+  this->entries_digest = val;
+}
+
+void Heartbeat::__set_endpoint_kind(const std::string& val) {
+  this->endpoint_kind = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -619,6 +627,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->entries_digest);
+          this->__isset.entries_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint_kind);
+          this->__isset.endpoint_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -672,6 +696,14 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entries_digest", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->entries_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint_kind", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->endpoint_kind);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -688,6 +720,8 @@
   swap(a.http_address, b.http_address);
   swap(a.version, b.version);
   swap(a.leaving, b.leaving);
+  swap(a.entries_digest, b.entries_digest);
+  swap(a.endpoint_kind, b.endpoint_kind);
   swap(a.__isset, b.__isset);
 }
 
@@ -701,6 +735,8 @@
   http_address = other8.http_address;
   version = other8.version;
   leaving = other8.leaving;
+  entries_digest = other8.entries_digest;
+  endpoint_kind = other8.endpoint_kind;
   __isset = other8.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other9) noexcept {
@@ -713,6 +749,8 @@
   http_address = std::move(other9.http_address);
   version = other9.version;
   leaving = other9.leaving;
+  entries_digest = other9.entries_digest;
+  endpoint_kind = std::move(other9.endpoint_kind);
   __isset = other9.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other10) {
@@ -725,6 +763,8 @@
   http_address = other10.http_address;
   version = other10.version;
   leaving = other10.leaving;
+  entries_digest = other10.entries_digest;
+  endpoint_kind = other10.endpoint_kind;
   __isset = other10.__isset;
   return *this;
 }
@@ -738,6 +778,8 @@
   http_address = std::move(other11.http_address);
   version = other11.version;
   leaving = other11.leaving;
+  entries_digest = other11.entries_digest;
+  endpoint_kind = std::move(other11.endpoint_kind);
   __isset = other11.__isset;
   return *this;
 }
@@ -753,6 +795,8 @@
   out << ", " << "http_address=" << to_string(http_address);
   out << ", " << "version=" << to_string(version);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "entries_digest=" << to_string(entries_digest);
+  out << ", " << "endpoint_kind=" << to_string(endpoint_kind);
   out << ")";
 }
 
@@ -943,6 +987,18 @@
 void HeartbeatReply::__set_takeovers(const std::vector<LedgerRecord> & val) {
   this->takeovers = val;
 }
+
+void HeartbeatReply::__set_entries_digest(const int64_t val) {
+  this->entries_digest = val;
+}
+
+void HeartbeatReply::__set_entries_omitted(const bool val) {
+  this->entries_omitted = val;
+}
+
+void HeartbeatReply::__set_alike_agents(const int32_t val) {
+  this->alike_agents = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -1027,6 +1083,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->entries_digest);
+          this->__isset.entries_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->entries_omitted);
+          this->__isset.entries_omitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->alike_agents);
+          this->__isset.alike_agents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1076,6 +1156,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entries_digest", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->entries_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries_omitted", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->entries_omitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alike_agents", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->alike_agents);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1087,6 +1179,9 @@
   swap(a.newest, b.newest);
   swap(a.entries, b.entries);
   swap(a.takeovers, b.takeovers);
+  swap(a.entries_digest, b.entries_digest);
+  swap(a.entries_omitted, b.entries_omitted);
+  swap(a.alike_agents, b.alike_agents);
   swap(a.__isset, b.__isset);
 }
 
@@ -1095,6 +1190,9 @@
   newest = other28.newest;
   entries = other28.entries;
   takeovers = other28.takeovers;
+  entries_digest = other28.entries_digest;
+  entries_omitted = other28.entries_omitted;
+  alike_agents = other28.alike_agents;
   __isset = other28.__isset;
 }
 HeartbeatReply::HeartbeatReply(HeartbeatReply&& other29) noexcept {
@@ -1102,6 +1200,9 @@
   newest = other29.newest;
   entries = std::move(other29.entries);
   takeovers = std::move(other29.takeovers);
+  entries_digest = other29.entries_digest;
+  entries_omitted = other29.entries_omitted;
+  alike_agents = other29.alike_agents;
   __isset = other29.__isset;
 }
 HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other30) {
@@ -1109,6 +1210,9 @@
   newest = other30.newest;
   entries = other30.entries;
   takeovers = other30.takeovers;
+  entries_digest = other30.entries_digest;
+  entries_omitted = other30.entries_omitted;
+  alike_agents = other30.alike_agents;
   __isset = other30.__isset;
   return *this;
 }
@@ -1117,6 +1221,9 @@
   newest = other31.newest;
   entries = std::move(other31.entries);
   takeovers = std::move(other31.takeovers);
+  entries_digest = other31.entries_digest;
+  entries_omitted = other31.entries_omitted;
+  alike_agents = other31.alike_agents;
   __isset = other31.__isset;
   return *this;
 }
@@ -1127,6 +1234,9 @@
   out << ", " << "newest=" << to_string(newest);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "takeovers=" << to_string(takeovers);
+  out << ", " << "entries_digest=" << to_string(entries_digest);
+  out << ", " << "entries_omitted=" << to_string(entries_omitted);
+  out << ", " << "alike_agents=" << to_string(alike_agents);
   out << ")";
 }
 
--- a/src/libalmond/wire/gen/control_types.h
+++ b/src/libalmond/wire/gen/control_types.h
@@ -223,7 +223,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerRecord& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : request(false), role(false), id(false), incarnation(false), data_centre(false), peer_address(false), http_address(false), version(false), leaving(false) {}
+  _Heartbeat__isset() : request(false), role(false), id(false), incarnation(false), data_centre(false), peer_address(false), http_address(false), version(false), leaving(false), entries_digest(false), endpoint_kind(false) {}
   bool request :1;
   bool role :1;
   bool id :1;
@@ -233,6 +233,8 @@
   bool http_address :1;
   bool version :1;
   bool leaving :1;
+  bool entries_digest :1;
+  bool endpoint_kind :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -251,7 +253,9 @@
               peer_address(),
               http_address(),
               version(0),
-              leaving(0) {
+              leaving(0),
+              entries_digest(0),
+              endpoint_kind() {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -264,6 +268,8 @@
   std::string http_address;
   int64_t version;
   bool leaving;
+  int64_t entries_digest;
+  std::string endpoint_kind;
 
   _Heartbeat__isset __isset;
 
@@ -285,6 +291,10 @@
 
   void __set_leaving(const bool val);
 
+  void __set_entries_digest(const int64_t val);
+
+  void __set_endpoint_kind(const std::string& val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(request == rhs.request))
@@ -305,6 +315,10 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(entries_digest == rhs.entries_digest))
+      return false;
+    if (!(endpoint_kind == rhs.endpoint_kind))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -390,11 +404,14 @@
 std::ostream& operator<<(std::ostream& out, const EntryAddress& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : request(false), newest(false), entries(false), takeovers(false) {}
+  _HeartbeatReply__isset() : request(false), newest(false), entries(false), takeovers(false), entries_digest(false), entries_omitted(false), alike_agents(false) {}
   bool request :1;
   bool newest :1;
   bool entries :1;
   bool takeovers :1;
+  bool entries_digest :1;
+  bool entries_omitted :1;
+  bool alike_agents :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -406,7 +423,10 @@
   HeartbeatReply& operator=(HeartbeatReply&&) noexcept;
   HeartbeatReply() noexcept
                  : request(0),
-                   newest(0) {
+                   newest(0),
+                   entries_digest(0),
+                   entries_omitted(0),
+                   alike_agents(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -414,6 +434,9 @@
   int64_t newest;
   std::vector<EntryAddress>  entries;
   std::vector<LedgerRecord>  takeovers;
+  int64_t entries_digest;
+  bool entries_omitted;
+  int32_t alike_agents;
 
   _HeartbeatReply__isset __isset;
 
@@ -425,6 +448,12 @@
 
   void __set_takeovers(const std::vector<LedgerRecord> & val);
 
+  void __set_entries_digest(const int64_t val);
+
+  void __set_entries_omitted(const bool val);
+
+  void __set_alike_agents(const int32_t val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(request == rhs.request))
@@ -435,6 +464,12 @@
       return false;
     if (!(takeovers == rhs.takeovers))
       return false;
+    if (!(entries_digest == rhs.entries_digest))
+      return false;
+    if (!(entries_omitted == rhs.entries_omitted))
+      return false;
+    if (!(alike_agents == rhs.alike_agents))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
--- a/tests/control/process_directory_test.cc
+++ b/tests/control/process_directory_test.cc
@@ -10,15 +10,20 @@
   void SendHeartbeat(const std::string& id, std::uint64_t incarnation = 1,
                      const std::string& data_centre = "nl-west-1",
                      bool leaving = false,
-                     process_role role = process_role::entry) {
+                     process_role role = process_role::entry,
+                     const std::string& endpoint_kind = "") {
     heartbeat_message beat;
     beat.role = role;
     beat.id = id;
     beat.incarnation = incarnation_id(incarnation);
     beat.data_centre = data_centre_id(data_centre);
     beat.leaving = leaving;
+    beat.endpoint_kind = endpoint_kind;
     directory_.RecordHeartbeat(beat);
   }
+  void SendAgentHeartbeat(const std::string& id, const std::string& kind) {
+    SendHeartbeat(id, 1, "nl-west-1", false, process_role::agent, kind);
+  }
   // Advances the clock while the given entries keep sending heartbeats.
   void AdvanceClock(milliseconds time,
                     const std::vector<std::string>& live_ids = {}) {
@@ -109,5 +114,47 @@
   CHECK(directory_.Processes().size() == 5);
 }
 
+// Guards against a process that is not told of a new or restarted entry, and
+// against a list that is sent again although it has not changed.
+TEST_CASE_METHOD(process_directory_fixture,
+                 "process directory / live processes / digest changes with the "
+                 "list only") {
+  SendHeartbeat("e1");
+  const std::uint64_t first = directory_.LiveProcesses().entries_digest;
+  CHECK(first != 0);
+  SendHeartbeat("e1");
+  SendHeartbeat("a1", 1, "nl-west-1", false, process_role::agent);
+  CHECK(directory_.LiveProcesses().entries_digest == first);
+  SendHeartbeat("e2");
+  CHECK(directory_.LiveProcesses().entries.size() == 2);
+  const std::uint64_t second = directory_.LiveProcesses().entries_digest;
+  CHECK(second != first);
+  SendHeartbeat("e2", 2);
+  CHECK(directory_.LiveProcesses().entries_digest != second);
+  AdvanceClock(process_directory::kLivenessTimeout, {"e1"});
+  CHECK(directory_.LiveProcesses().entries.size() == 1);
+  CHECK(directory_.LiveProcesses().entries_digest == first);
+}
+
+// Guards against agents that take the few that a new leader has heard from for
+// all agents.
+TEST_CASE_METHOD(process_directory_fixture,
+                 "process directory / alike agents / live ones of the kind, "
+                 "unknown to a new leader") {
+  SendAgentHeartbeat("a1", "s 16");
+  CHECK(directory_.AlikeAgents("s 16") == 0);
+  AdvanceClock(process_directory::kLivenessTimeout);
+  SendAgentHeartbeat("a2", "s 16");
+  SendAgentHeartbeat("a3", "s 16");
+  SendAgentHeartbeat("a4", "s 64");
+  SendAgentHeartbeat("a5", "");
+  CHECK(directory_.AlikeAgents("s 16") == 2);
+  CHECK(directory_.AlikeAgents("s 64") == 1);
+  CHECK(directory_.AlikeAgents("t 16") == 0);
+  CHECK(directory_.AlikeAgents("") == 0);
+  directory_.RestartGracePeriod();
+  CHECK(directory_.AlikeAgents("s 16") == 0);
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/control_client/control_client_test.cc
+++ b/tests/control_client/control_client_test.cc
@@ -267,5 +267,44 @@
   }
 }
 
+// Guards against a process that loses its list of entries, or keeps an old one,
+// when the leader leaves out a list that the process has.
+TEST_CASE_METHOD(control_client_fixture,
+                 "control client / list of entries omitted / the last full one "
+                 "is kept") {
+  const auto beat = [this] {
+    sent_.clear();
+    client_.SendHeartbeat();
+    return std::get<heartbeat_message>(sent_.back().body);
+  };
+  const auto reply = [this](std::size_t entries, std::uint64_t digest,
+                            bool omitted) {
+    heartbeat_reply_message message;
+    message.entries.resize(entries);
+    message.entries_digest = digest;
+    message.entries_omitted = omitted;
+    Reply(sent_.back().number, message);
+  };
+  client_.OnConnected();
+  CHECK(beat().entries_digest == 0);
+  reply(3, 11, false);
+  CHECK(entries_ == 3);
+  CHECK(beat().entries_digest == 11);
+  entries_ = 0;
+  reply(0, 11, true);
+  CHECK(entries_ == 3);
+  SECTION("a late reply that refers to an older list") {
+    reply(2, 12, false);
+    reply(0, 11, true);
+    CHECK(entries_ == 2);
+    CHECK(beat().entries_digest == 12);
+  }
+  SECTION("a leader of an older release, which sends no digest") {
+    reply(4, 0, false);
+    CHECK(entries_ == 4);
+    CHECK(beat().entries_digest == 0);
+  }
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/control_client/control_codec_test.cc
+++ b/tests/control_client/control_codec_test.cc
@@ -30,7 +30,7 @@
     return {
         heartbeat_message{process_role::agent, "a1", incarnation_id(3),
                           data_centre_id("nl-west-1"), "127.0.0.1:1",
-                          "127.0.0.1:2", config_version(9), true},
+                          "127.0.0.1:2", config_version(9), true, 77, "s 1"},
         fetch_config_message{},
         ledger_claim_message{r.submission, r.digest, r.service, r.task_count,
                              r.owner, r.owner_incarnation, r.deadline},
@@ -42,7 +42,10 @@
         heartbeat_reply_message{config_version(9),
                                 {{entry_id("e1"), incarnation_id(7),
                                   data_centre_id("nl-west-1"), "127.0.0.1:1"}},
-                                {Record()}},
+                                {Record()},
+                                ~std::uint64_t{0},
+                                false,
+                                240},
         fetch_config_reply_message{config_version(9), "document"},
         ledger_claim_reply_message{claim_outcome::exists, Record()},
         ledger_finish_reply_message{true},
@@ -71,6 +74,14 @@
   CHECK(copy.http_address == "127.0.0.1:2");
   CHECK(copy.version == config_version(9));
   CHECK(copy.leaving);
+  CHECK(copy.entries_digest == 77);
+  CHECK(copy.endpoint_kind == "s 1");
+  const auto decoded = DecodeControlReply(EncodeControlReply(6, Replies()[0]));
+  const auto& reply = std::get<heartbeat_reply_message>(decoded.value().body);
+  CHECK(reply.entries.size() == 1);
+  CHECK(reply.entries_digest == ~std::uint64_t{0});
+  CHECK_FALSE(reply.entries_omitted);
+  CHECK(reply.alike_agents == 240);
 }
 
 // Guards against a message type that does not survive a round trip, and against
