Connect agents to a subset of the entries

Cause: every agent sent its state to every entry at each change and each 150 ms, nearly all of 160 messages for a task in the load simulation.

Change: entry_subset chooses the links of an agent, so that each entry reaches 32 agents with endpoints of the same kind; half of the links are in the agent's data centre. A system or a service with few endpoints keeps all links. A link that is no longer chosen takes no more starts and is closed once it is unused, so that no run is stopped or sent twice for it. Frames between entries and agents are counted by type. Links of slots stay as they were.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -465,6 +465,15 @@
   return state;
 }
 
+bool run_controller::HasRuns(link_id link) const {
+  return std::any_of(
+             runs_.begin(), runs_.end(),
+             [link](const auto& entry) { return entry.second.link == link; }) ||
+         std::any_of(queue_.begin(), queue_.end(), [link](const auto& queued) {
+           return queued.link == link;
+         });
+}
+
 void run_controller::NotifyChange() {
   if (hooks_.on_change) hooks_.on_change();
 }
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -165,6 +165,8 @@
   endpoint_state State() const;
   const leased_endpoint& Endpoint() const { return endpoint_; }
   std::size_t Runs() const { return runs_.size(); }
+  /// @returns true if runs or queued starts of this link are not over
+  bool HasRuns(link_id link) const;
 
  private:
   enum class phase : std::uint8_t { starting, running, stopping };
--- a/src/libalmond/processes/agent_entry_links.cc
+++ b/src/libalmond/processes/agent_entry_links.cc
@@ -53,6 +53,7 @@
 template <typename Codec>
 void agent_entry_links_of<Codec>::OnFrame(const socket_address& address,
                                           const frame& encoded) {
+  received_.Add(encoded);
   const auto message = Codec::DecodeFromEntry(encoded);
   if (!message) {
     metrics_.Counter("almond_bad_frames_total").Add();
@@ -81,7 +82,24 @@
 void agent_entry_links_of<Codec>::Send(
     link_id link, const typename Codec::from_agent& message) {
   const auto found = by_link_.find(link);
-  if (found != by_link_.end()) found->second->Send(Codec::Encode(message));
+  if (found == by_link_.end()) return;
+  const frame encoded = Codec::Encode(message);
+  sent_.Add(encoded);
+  found->second->Send(encoded);
+}
+
+template <typename Codec>
+void agent_entry_links_of<Codec>::Close(const socket_address& entry) {
+  const auto found = entries_.find(entry);
+  if (found == entries_.end()) return;
+  EndLink(found->second);
+  entries_.erase(entry);
+}
+
+template <typename Codec>
+link_id agent_entry_links_of<Codec>::LinkTo(const socket_address& entry) const {
+  const auto found = entries_.find(entry);
+  return found == entries_.end() ? link_id() : found->second.link;
 }
 
 template <typename Codec>
--- a/src/libalmond/processes/agent_entry_links.h
+++ b/src/libalmond/processes/agent_entry_links.h
@@ -10,6 +10,7 @@
 
 #include "libalmond/core/metrics.h"
 #include "libalmond/net/peer_dialer.h"
+#include "libalmond/processes/frame_counters.h"
 #include "libalmond/processes/link_codecs.h"
 
 namespace almond {
@@ -33,12 +34,19 @@
         clock_(clock),
         metrics_(metrics),
         hooks_(std::move(callbacks)),
-        timing_(timing) {}
+        timing_(timing),
+        sent_(metrics, "out"),
+        received_(metrics, "in") {}
 
   /// Dials these entries and stops dialling all others. Connections that are
   /// open are kept, because a directory that was just rebuilt lists only some
   /// of the live entries.
   void SetEntries(const std::vector<socket_address>& entries);
+  /// Closes the connection to an entry and stops dialling it; calls on_closed.
+  /// Must not be called from a hook.
+  void Close(const socket_address& entry);
+  /// @returns the open connection to an entry, or 0
+  link_id LinkTo(const socket_address& entry) const;
   /// Sends a message; drops it if the connection is closed.
   void Send(link_id link, const typename Codec::from_agent& message);
   /// @returns the open connections
@@ -63,6 +71,8 @@
   metrics_registry& metrics_;
   hooks hooks_;
   link_timing timing_;
+  frame_counters sent_;
+  frame_counters received_;
   std::map<socket_address, entry_connection> entries_;
   std::unordered_map<link_id, peer_dialer*> by_link_;
   link_id last_link_;
--- a/src/libalmond/processes/entry_links.cc
+++ b/src/libalmond/processes/entry_links.cc
@@ -13,6 +13,8 @@
     : loop_(loop),
       metrics_(metrics),
       hooks_(std::move(callbacks)),
+      sent_(metrics, "out"),
+      received_(metrics, "in"),
       listener_(
           loop, clock,
           [this](const std::shared_ptr<peer_link>& link) { OnAccept(link); },
@@ -24,14 +26,19 @@
                                  const typename Codec::from_entry& message) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
-  found->second.link->Send(Codec::Encode(message));
+  const frame encoded = Codec::Encode(message);
+  sent_.Add(encoded);
+  found->second.link->Send(encoded);
 }
 
 template <typename Codec>
 void entry_links_of<Codec>::SendToAll(
     const typename Codec::from_entry& message) {
   const frame encoded = Codec::Encode(message);
-  for (const auto& [id, accepted] : links_) accepted.link->Send(encoded);
+  for (const auto& [id, accepted] : links_) {
+    sent_.Add(encoded);
+    accepted.link->Send(encoded);
+  }
 }
 
 template <typename Codec>
@@ -74,6 +81,7 @@
 template <typename Codec>
 void entry_links_of<Codec>::OnFrame(link_id link, const frame& encoded) {
   if (links_.count(link) == 0) return;
+  received_.Add(encoded);
   const auto message = Codec::DecodeFromAgent(encoded);
   if (message) {
     if (Codec::IsAnnouncement(*message)) {
--- a/src/libalmond/processes/entry_links.h
+++ b/src/libalmond/processes/entry_links.h
@@ -7,6 +7,7 @@
 
 #include "libalmond/core/metrics.h"
 #include "libalmond/net/peer_listener.h"
+#include "libalmond/processes/frame_counters.h"
 #include "libalmond/processes/link_codecs.h"
 
 namespace almond {
@@ -56,6 +57,8 @@
   event_loop& loop_;
   metrics_registry& metrics_;
   hooks hooks_;
+  frame_counters sent_;
+  frame_counters received_;
   peer_listener listener_;
   std::map<link_id, accepted_link> links_;
   milliseconds announce_timeout_;
--- a/src/libalmond/processes/run_agent_process.cc
+++ b/src/libalmond/processes/run_agent_process.cc
@@ -29,6 +29,11 @@
                 OnMessage(link, message);
               }},
              kRunLinkTiming),
+      subset_(clock, settings_.id, settings_.data_centre,
+              {[this](const entry_address& entry) {
+                const auto address = socket_address::Parse(entry.peer_address);
+                return address && links_.LinkTo(*address) != link_id();
+              }}),
       http_(loop,
             [this](const http_request& request,
                    const http_server::responder& respond) {
@@ -83,6 +88,9 @@
   };
   hooks.on_takeover = [](const ledger_record& /*record*/) {};
   hooks.on_newest = [](config_version /*newest*/) {};
+  hooks.on_alike_agents = [this](std::uint32_t number) {
+    alike_agents_ = number;
+  };
   return hooks;
 }
 
@@ -94,9 +102,22 @@
   heartbeat.data_centre = settings_.data_centre;
   heartbeat.http_address = http_.Address().ToString();
   heartbeat.leaving = drain_start_.has_value();
+  heartbeat.endpoint_kind = EndpointKind();
   return heartbeat;
 }
 
+std::string run_agent_process::EndpointKind() const {
+  std::string kind;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const leased_endpoint& announced = endpoint->Endpoint();
+    kind += announced.service.Value() + " " +
+            std::to_string(announced.total.cpu_milli) + " " +
+            std::to_string(announced.total.memory_mib) + " " +
+            std::to_string(announced.total.accelerators) + ";";
+  }
+  return kind;
+}
+
 run_controller::hooks run_agent_process::RunHooks() {
   run_controller::hooks hooks;
   hooks.start = adapter_.start;
@@ -163,18 +184,52 @@
 
 void run_agent_process::OnClosed(link_id link) {
   log_.Write("entry_lost", {{"link", link.Value()}});
+  retiring_.erase(link);
   orders_seen_.erase(link);
   for (const auto& [id, endpoint] : endpoints_) endpoint->OnLinkClosed(link);
 }
 
 void run_agent_process::OnEntries(const std::vector<entry_address>& entries) {
+  subset_.Update(entries, alike_agents_);
   std::vector<socket_address> addresses;
-  addresses.reserve(entries.size());
-  for (const entry_address& entry : entries) {
+  addresses.reserve(subset_.Chosen().size());
+  for (const entry_address& entry : subset_.Chosen()) {
     const auto address = socket_address::Parse(entry.peer_address);
     if (address) addresses.push_back(*address);
   }
   links_.SetEntries(addresses);
+  RetireLinks();
+}
+
+void run_agent_process::RetireLinks() {
+  const steady_time now = clock_.SteadyNow();
+  std::map<link_id, steady_time> retiring;
+  std::vector<socket_address> unused;
+  for (const entry_address& entry : subset_.Retired()) {
+    const auto address = socket_address::Parse(entry.peer_address);
+    if (!address) continue;
+    const link_id link = links_.LinkTo(*address);
+    const auto known = retiring_.find(link);
+    const steady_time since = known == retiring_.end() ? now : known->second;
+    retiring[link] = since;
+    if (now - since >= kRetiringPeriod && !HasRuns(link)) {
+      unused.push_back(*address);
+    }
+  }
+  const bool changed = retiring != retiring_;
+  retiring_ = std::move(retiring);
+  if (changed) ScheduleStateUpdate();
+  for (const socket_address& address : unused) {
+    log_.Write("entry_retired", {{"entry", address.ToString()},
+                                 {"links", links_.Connected() - 1}});
+    links_.Close(address);
+  }
+}
+
+bool run_agent_process::HasRuns(link_id link) const {
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(),
+      [link](const auto& entry) { return entry.second->HasRuns(link); });
 }
 
 void run_agent_process::ScheduleStateUpdate() {
@@ -193,6 +248,7 @@
     state.data_centre = settings_.data_centre;
     const auto seen = orders_seen_.find(link);
     state.orders_seen = seen == orders_seen_.end() ? 0 : seen->second;
+    if (retiring_.contains(link)) state.accepting = false;
     links_.Send(link, state);
   }
 }
@@ -205,6 +261,8 @@
   }
   log_.Flush();
   metrics_.Gauge("almond_agent_runs").Set(static_cast<double>(runs));
+  metrics_.Gauge("almond_agent_links")
+      .Set(static_cast<double>(links_.Connected()));
   if (!drain_start_ || !on_drained_) return;
   if (runs > 0 &&
       clock_.SteadyNow() - *drain_start_ < settings_.drain_timeout) {
--- a/src/libalmond/processes/run_agent_process.h
+++ b/src/libalmond/processes/run_agent_process.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "libalmond/controllers/agent/entry_subset.h"
 #include "libalmond/controllers/agent/run_controller.h"
 #include "libalmond/core/decision_log.h"
 #include "libalmond/net/event_loop.h"
@@ -62,6 +63,9 @@
   static constexpr milliseconds kAnnouncePeriod{150};
   /// Time during which state changes are collected before they are sent.
   static constexpr milliseconds kStateBatchPeriod{2};
+  /// Time for which a link that is to be retired takes no starts before it is
+  /// closed. Covers starts that are under way.
+  static constexpr milliseconds kRetiringPeriod{1000};
 
   run_agent_process(event_loop& loop, const clock_interface& clock,
                     run_agent_settings settings, endpoint_interface adapter);
@@ -78,6 +82,8 @@
   void SetControl(std::vector<socket_address> control);
 
   decision_log& Log() { return log_; }
+  /// @returns the address for the endpoint's announcements
+  const socket_address& HttpAddress() const { return http_.Address(); }
 
  private:
   control_client::hooks ClientHooks();
@@ -88,6 +94,11 @@
   void OnMessage(link_id link, const entry_run_message& message);
   void OnClosed(link_id link);
   void OnEntries(const std::vector<entry_address>& entries);
+  std::string EndpointKind() const;
+  /// Closes the links to entries that are not chosen any more, once they are
+  /// unused.
+  void RetireLinks();
+  bool HasRuns(link_id link) const;
   void ScheduleStateUpdate();
   void SendStates();
   void SendStatesTo(link_id link);
@@ -101,6 +112,10 @@
   metrics_registry metrics_;
   decision_log log_;
   run_agent_links links_;
+  entry_subset subset_;
+  std::size_t alike_agents_ = 0;  ///< 0 if unknown
+  /// Links that take no more starts, with the time since when.
+  std::map<link_id, steady_time> retiring_;
   std::map<endpoint_id, std::unique_ptr<run_controller>> endpoints_;
   std::map<link_id, std::uint64_t> orders_seen_;
   http_server http_;
--- a/tests/entry_jobs/load_simulation.cc
+++ b/tests/entry_jobs/load_simulation.cc
@@ -38,7 +38,7 @@
   entry_node(std::size_t number, load_simulation& owner)
       : random(owner.random_()),
         log(owner.clock_, metrics, "entry", DiscardOutput),
-        pool(owner.clock_, random, data_centre_id("a")),
+        pool(owner.clock_, random, owner.DataCentre(number)),
         jobs(owner.clock_, log, metrics, pool,
              {[number, &owner](link_id link, const entry_run_message& message) {
                owner.SendToAgent(number, link, message);
@@ -89,8 +89,10 @@
       });
     };
     hooks.on_end = [number, &owner](link_id link, const run_end& end) {
+      ++owner.messages_;
       owner.At(
-          owner.clock_.SteadyNow() + owner.settings_.message_time, [=, &owner] {
+          owner.clock_.SteadyNow() + owner.MessageTime(NodeOf(link), number),
+          [=, &owner] {
             owner.entries_[NodeOf(link)]->jobs.OnRunEnd(LinkOf(number), end);
           });
     };
@@ -121,7 +123,7 @@
 load_simulation::load_simulation(std::uint64_t seed, settings chosen,
                                  std::vector<load_kind> kinds)
     : random_(seed),
-      settings_(chosen),
+      settings_(std::move(chosen)),
       kinds_(std::move(kinds)),
       results_(kinds_.size()) {
   for (std::size_t i = 0; i < settings_.entries; ++i) {
@@ -172,6 +174,8 @@
   ++measurement_;
   measurement_start_ = clock_.SteadyNow();
   used_core_ms_ = 0;
+  messages_ = 0;
+  started_before_ = Started();
   results_.assign(kinds_.size(), result());
 }
 
@@ -183,14 +187,45 @@
 
 double load_simulation::RefusedStarts() const {
   double refused = 0;
-  double started = 0;
   for (const auto& agent : agents_) {
     refused += static_cast<double>(
         agent->metrics.Counter("almond_agent_run_refusals_total").Value());
+  }
+  return refused / Started();
+}
+
+double load_simulation::MessagesPerStart() const {
+  return static_cast<double>(messages_) / (Started() - started_before_);
+}
+
+double load_simulation::Started() const {
+  double started = 0;
+  for (const auto& agent : agents_) {
     started += static_cast<double>(
         agent->metrics.Counter("almond_agent_run_starts_total").Value());
   }
-  return refused / started;
+  return started;
+}
+
+data_centre_id load_simulation::DataCentre(std::size_t node) const {
+  return data_centre_id("d" + std::to_string(node % settings_.data_centres));
+}
+
+duration load_simulation::MessageTime(std::size_t entry,
+                                      std::size_t agent) const {
+  return DataCentre(entry) == DataCentre(agent) ? settings_.message_time
+                                                : settings_.remote_message_time;
+}
+
+std::size_t load_simulation::ChooseEntry() {
+  std::uniform_int_distribution<std::size_t> any(0, entries_.size() - 1);
+  if (settings_.callers.empty()) return any(random_);
+  std::discrete_distribution<std::size_t> choose(settings_.callers.begin(),
+                                                 settings_.callers.end());
+  const std::size_t data_centre = choose(random_);
+  std::size_t entry = any(random_);
+  while (entry % settings_.data_centres != data_centre) entry = any(random_);
+  return entry;
 }
 
 void load_simulation::At(steady_time when, std::function<void()> action) {
@@ -242,9 +277,7 @@
   request.timeout =
       std::max(kCallerTime, std::chrono::ceil<milliseconds>(1.5 * objective));
   ++results_[number].jobs;
-  std::uniform_int_distribution<std::size_t> random_entry(0,
-                                                          entries_.size() - 1);
-  entries_[random_entry(random_)]->jobs.Submit(
+  entries_[ChooseEntry()]->jobs.Submit(
       kind.rule, request,
       [this, number, objective, measurement = measurement_,
        arrived = clock_.SteadyNow()](const job_answer& answer) {
@@ -263,7 +296,8 @@
 
 void load_simulation::SendToAgent(std::size_t entry, link_id link,
                                   const entry_run_message& message) {
-  At(clock_.SteadyNow() + settings_.message_time, [=, this] {
+  ++messages_;
+  At(clock_.SteadyNow() + MessageTime(entry, NodeOf(link)), [=, this] {
     agent_node& agent = *agents_[NodeOf(link)];
     const link_id from = LinkOf(entry);
     if (const auto* stop = std::get_if<run_stop>(&message)) {
@@ -282,10 +316,12 @@
   agent_node& agent = *agents_[number];
   agent.states_due = false;
   for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (settings_.linked && !settings_.linked(i, number)) continue;
     endpoint_state state = agent.runs.State();
-    state.data_centre = data_centre_id("a");
+    state.data_centre = DataCentre(number);
     state.orders_seen = agent.orders_seen[LinkOf(i)];
-    At(clock_.SteadyNow() + settings_.message_time,
+    ++messages_;
+    At(clock_.SteadyNow() + MessageTime(i, number),
        [=, this] { entries_[i]->jobs.OnEndpointState(LinkOf(number), state); });
   }
 }
--- a/tests/entry_jobs/load_simulation.h
+++ b/tests/entry_jobs/load_simulation.h
@@ -38,6 +38,13 @@
     double spread = 0.4;
     /// Standard deviation of the logarithm of the estimates.
     double estimate_error = 0.4;
+    /// Entries and endpoints are spread over the data centres in turn.
+    std::size_t data_centres = 1;
+    duration remote_message_time = std::chrono::microseconds(2400);
+    /// Share of the callers of each data centre; empty for equal shares.
+    std::vector<double> callers = {};
+    /// @returns true if the agent is connected to the entry; empty: always
+    std::function<bool(std::size_t entry, std::size_t agent)> linked = {};
   };
   /// Results of the callers of one kind.
   struct result {
@@ -70,11 +77,17 @@
   double Utilisation() const;
   /// @returns number of starts that agents refused per accepted one
   double RefusedStarts() const;
+  /// @returns number of messages between entries and agents per started task
+  double MessagesPerStart() const;
 
  private:
   struct entry_node;
   struct agent_node;
 
+  data_centre_id DataCentre(std::size_t node) const;
+  duration MessageTime(std::size_t entry, std::size_t agent) const;
+  std::size_t ChooseEntry();
+  double Started() const;
   void At(steady_time when, std::function<void()> action);
   void RunUntil(steady_time end);
   void TickAll();
@@ -101,6 +114,8 @@
   std::uint64_t measurement_ = 0;  ///< changes with each ResetResults
   steady_time measurement_start_;
   double used_core_ms_ = 0;
+  std::uint64_t messages_ = 0;
+  double started_before_ = 0;  ///< tasks started before the measurement
 };
 
 }  // namespace almond
