Show of a replica only what its leader knows

scripts/quickstart ended with "replica c1: follower, term 0, commit index 0" beside a leader at term 1, which a newcomer takes for a fault. The leader reports a log position for itself only; for the others it knows when it last heard from them, and almondctl status shows that now.

--- a/src/libalmond/operator_commands/process_commands.cc
+++ b/src/libalmond/operator_commands/process_commands.cc
@@ -39,10 +39,17 @@
 void PrintReplicas(std::ostream& out, const json& replicas) {
   for (const json& replica : replicas) {
     out << "replica " << TextMember(replica, "id") << ": "
-        << TextMember(replica, "role") << ", term "
-        << NumberMember(replica, "term") << ", commit index "
-        << NumberMember(replica, "commit_index")
-        << (BooleanMember(replica, "admitted") ? "" : ", not admitted") << "\n";
+        << TextMember(replica, "role");
+    // The leader knows its own log position only, and when it last heard from
+    // the others.
+    if (replica.contains("term")) {
+      out << ", term " << NumberMember(replica, "term") << ", commit index "
+          << NumberMember(replica, "commit_index");
+    }
+    if (replica.contains("silent_ms")) {
+      out << ", heard " << NumberMember(replica, "silent_ms") << " ms ago";
+    }
+    out << (BooleanMember(replica, "admitted") ? "" : ", not admitted") << "\n";
   }
 }
 
--- a/tests/almondctl/control_commands_test.cc
+++ b/tests/almondctl/control_commands_test.cc
@@ -176,7 +176,8 @@
        "http_address":"127.0.0.1:80"},
       {"role":"agent","id":"a1","version":4,"leaving":true}],"replicas":[
       {"id":"c1","role":"leader","term":2,"commit_index":7,"admitted":true},
-      {"id":"c2","role":"follower","term":2,"commit_index":6}]})";
+      {"id":"c2","role":"follower","term":2,"commit_index":6},
+      {"id":"c3","role":"follower","silent_ms":20,"admitted":true}]})";
     const std::vector<std::string> submit = {
         "submit", "--entry", "URL", "--service", "s", "--job", "job.json"};
     const std::string failed = R"({"state":"failed","reason":"task-failed"})";
@@ -235,7 +236,8 @@
          "lags: entry  e2                       a                "
          "127.0.0.1:80           version 3, heard 120 ms ago\n"
          "replica c1: leader, term 2, commit index 7\n"
-         "replica c2: follower, term 2, commit index 6, not admitted\n"},
+         "replica c2: follower, term 2, commit index 6, not admitted\n"
+         "replica c3: follower, heard 20 ms ago\n"},
         {{"drain", "--agent", "URL"},
          {Reply(204, "")},
          0,
