--- a/tests/agent_runs/run_agent_process_test.cc
+++ b/tests/agent_runs/run_agent_process_test.cc
@@ -51,13 +51,12 @@
     fake_entry& entry = *entries_.emplace_back(std::make_unique<fake_entry>());
     entry.listener = std::make_unique<peer_listener>(
         loop_, clock_,
-        [this, &entry](const std::shared_ptr<peer_link>& link) {
+        [&entry](const std::shared_ptr<peer_link>& link) {
           ++entry.accepted;
           entry.link = link;
-          link->Start({[this, &entry](const frame& encoded) {
-                         OnFrame(entry, encoded);
-                       },
-                       [&entry](const std::string&) { entry.link.reset(); }});
+          link->Start(
+              {[&entry](const frame& encoded) { OnFrame(entry, encoded); },
+               [&entry](const std::string&) { entry.link.reset(); }});
         },
         kRunLinkTiming);
     REQUIRE(entry.listener->Listen(kAnyPort));
--- a/tests/entry_jobs/load_simulation.cc
+++ b/tests/entry_jobs/load_simulation.cc
@@ -32,8 +32,31 @@
 link_id LinkOf(std::size_t node) { return link_id(node + 1); }
 std::size_t NodeOf(link_id link) { return link.Value() - 1; }
 
+load_kind MakeKind(const char* name, double share, std::uint32_t width,
+                   milliseconds work, std::uint32_t priority,
+                   std::int64_t cpu_milli) {
+  load_kind kind;
+  kind.rule.name = std::string(name);
+  kind.rule.service = service_id("s");
+  kind.rule.max_attempts = 3;
+  kind.rule.stretch = 1.6;
+  kind.rule.slack = milliseconds(60);
+  kind.rule.priority = priority;
+  kind.share = share;
+  kind.width = width;
+  kind.work = work;
+  kind.cpu_milli = cpu_milli;
+  return kind;
+}
+
 }  // namespace
 
+std::vector<load_kind> MixedLoad(std::int64_t cpu_milli) {
+  return {MakeKind("short", 0.245, 8, milliseconds(51), 0, cpu_milli),
+          MakeKind("long", 0.044, 4, milliseconds(760), 2, cpu_milli),
+          MakeKind("narrow", 0.711, 2, milliseconds(170), 1, cpu_milli)};
+}
+
 struct load_simulation::entry_node {
   entry_node(std::size_t number, load_simulation& owner)
       : random(owner.random_()),
--- a/tests/entry_jobs/load_simulation.h
+++ b/tests/entry_jobs/load_simulation.h
@@ -23,6 +23,11 @@
   std::int64_t cpu_milli = 1000;
 };
 
+/// @returns three kinds of jobs: "short" (8 tasks of about 51 ms), "long" (4
+///   tasks of about 760 ms) and "narrow" (2 tasks of about 170 ms). Each makes
+///   up a third of the value of the load.
+std::vector<load_kind> MixedLoad(std::int64_t cpu_milli);
+
 /// Simulates entries, agents and endpoints of one service with a network, using
 /// the real controllers.
 class load_simulation {
--- a/tests/entry_jobs/peak_load_test.cc
+++ b/tests/entry_jobs/peak_load_test.cc
@@ -6,37 +6,17 @@
 namespace almond {
 namespace {
 
-/// Simulates a load of three kinds of jobs: "short" (8 tasks of about 51 ms),
-/// "long" (4 tasks of about 760 ms) and "narrow" (2 tasks of about 170 ms).
-/// Each kind makes up a third of the value of the load.
+/// Simulates a load of the three kinds of MixedLoad.
 class peak_load_fixture {
  protected:
-  static load_kind Kind(const char* name, double share, std::uint32_t width,
-                        milliseconds work, std::uint32_t priority) {
-    load_kind kind;
-    kind.rule.name = std::string(name);
-    kind.rule.service = service_id("s");
-    kind.rule.max_attempts = 3;
-    kind.rule.stretch = 1.6;
-    kind.rule.slack = milliseconds(60);
-    kind.rule.priority = priority;
-    kind.share = share;
-    kind.width = width;
-    kind.work = work;
-    kind.cpu_milli = 6200;
-    return kind;
-  }
+  static constexpr std::int64_t kTaskCpu = 6200;
 
   /// Simulates the load with three seeds and sums the results.
   void RunLoad(double load) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) RunLoadOnce(load, seed);
   }
   void RunLoadOnce(double load, std::uint64_t seed) {
-    load_simulation simulation(
-        seed, {},
-        {Kind("short", 0.245, 8, milliseconds(51), 0),
-         Kind("long", 0.044, 4, milliseconds(760), 2),
-         Kind("narrow", 0.711, 2, milliseconds(170), 1)});
+    load_simulation simulation(seed, {}, MixedLoad(kTaskCpu));
     simulation.RunLoad(std::chrono::seconds(2), 0.7);
     simulation.ResetResults();
     simulation.RunLoad(std::chrono::seconds(8), load);
--- a/tests/entry_jobs/subset_load_test.cc
+++ b/tests/entry_jobs/subset_load_test.cc
@@ -16,6 +16,7 @@
   static constexpr std::size_t kEntries = 60;
   static constexpr std::size_t kAgents = 240;
   static constexpr std::size_t kDataCentres = 5;
+  static constexpr std::int64_t kTaskCpu = 3800;
   using link_set = std::set<std::pair<std::size_t, std::size_t>>;
 
   static entry_address Entry(std::size_t number) {
@@ -53,21 +54,6 @@
     return ChooseLinks(kAgents, [](std::size_t, std::size_t) { return true; });
   }
 
-  static load_kind Kind(const char* name, double share, std::uint32_t width,
-                        milliseconds work, std::uint32_t priority) {
-    load_kind kind;
-    kind.rule.name = std::string(name);
-    kind.rule.service = service_id("s");
-    kind.rule.max_attempts = 3;
-    kind.rule.stretch = 1.6;
-    kind.rule.slack = milliseconds(60);
-    kind.rule.priority = priority;
-    kind.share = share;
-    kind.width = width;
-    kind.work = work;
-    kind.cpu_milli = 3800;
-    return kind;
-  }
   /// Simulates 4 s of load.
   void Run(double load, std::vector<double> callers,
            std::function<bool(std::size_t, std::size_t)> linked) {
@@ -78,11 +64,7 @@
     chosen.data_centres = kDataCentres;
     chosen.callers = std::move(callers);
     chosen.linked = std::move(linked);
-    load_simulation simulation(
-        1, chosen,
-        {Kind("short", 0.245, 8, milliseconds(51), 0),
-         Kind("long", 0.044, 4, milliseconds(760), 2),
-         Kind("narrow", 0.711, 2, milliseconds(170), 1)});
+    load_simulation simulation(1, chosen, MixedLoad(kTaskCpu));
     simulation.RunLoad(std::chrono::seconds(1), load);
     simulation.ResetResults();
     simulation.RunLoad(std::chrono::seconds(4), load);
