Keep processor time and the times of a history as std::chrono types

The tree's check showed core_ms in job_admission and service_backlog and epoch_ms in UtcTime: times as bare numbers in signatures.

Change: processor time on one core is a duration through job_admission, parallel_job_controller and the backlog; UtcTime takes a duration since the epoch, not a time point, as a malformed reply may hold any number. The log field queued_core_ms and the arithmetic are the same.

--- a/src/libalmond/controllers/entry/job_admission.h
+++ b/src/libalmond/controllers/entry/job_admission.h
@@ -15,8 +15,8 @@
 struct service_backlog {
   std::int64_t total_cpu_milli = 0;   ///< of all accepting endpoints
   std::int64_t unused_cpu_milli = 0;  ///< unused part of the total
-  /// CPU time of this entry's queued tasks, in milliseconds of one core.
-  std::int64_t queued_core_ms = 0;
+  /// CPU time of this entry's queued tasks, on one core.
+  milliseconds queued_cpu_time{0};
 };
 
 /// Refuses jobs that cannot end within their callers' timeouts. During an
@@ -38,7 +38,8 @@
   explicit job_admission(const clock_interface& clock) : clock_(clock) {}
 
   /// Counts a placed task.
-  void RecordPlacement(std::int64_t core_ms);
+  /// @param cpu_time expected CPU time of the task, on one core
+  void RecordPlacement(milliseconds cpu_time);
 
   /// @param critical_path critical path of the job, see CriticalPath
   /// @returns the refusal, or nothing if the job may be queued
@@ -52,8 +53,8 @@
   void DropOldPlacements();
 
   const clock_interface& clock_;
-  std::deque<std::pair<steady_time, std::int64_t>> placed_;
-  std::int64_t placed_core_ms_ = 0;
+  std::deque<std::pair<steady_time, milliseconds>> placed_;
+  milliseconds placed_cpu_time_{0};
 };
 
 /// @returns the length of the longest chain of dependent steps, by their
--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -10,8 +10,9 @@
   return std::chrono::duration_cast<milliseconds>(time).count();
 }
 
-std::int64_t CoreMs(const job_step& plan) {
-  return plan.needed.cpu_milli * plan.estimate.count() / 1000;
+/// @returns the expected CPU time of a task, on one core
+milliseconds CpuTime(const job_step& plan) {
+  return plan.estimate * plan.needed.cpu_milli / 1000;
 }
 
 const char* OutcomeName(job_outcome outcome) {
@@ -87,7 +88,7 @@
                 {"reason", Name(refused->reason)},
                 {"timeout_ms", request.timeout.count()},
                 {"chain_ms", critical_path.count()},
-                {"queued_core_ms", queued_core_ms_[rule.service]},
+                {"queued_core_ms", queued_cpu_time_[rule.service].count()},
                 {"unused_cpu_milli", endpoints_.UnusedCpu(rule.service)}});
     on_answer(*refused);
     return;
@@ -325,7 +326,7 @@
   current_step.tasks[index].phase = task_phase::waiting;
   queue_.Add({current.request.id, step_number, index},
              Urgency(current, current_step));
-  queued_core_ms_[current.service] += CoreMs(current_step.plan);
+  queued_cpu_time_[current.service] += CpuTime(current_step.plan);
 }
 
 run_urgency parallel_job_controller::Urgency(const job& current,
@@ -339,7 +340,7 @@
     for (std::uint32_t i = 0; i < current_step.tasks.size(); ++i) {
       if (current_step.tasks[i].phase != task_phase::waiting) continue;
       queue_.Remove({current.request.id, s, i}, Urgency(current, current_step));
-      queued_core_ms_[current.service] -= CoreMs(current_step.plan);
+      queued_cpu_time_[current.service] -= CpuTime(current_step.plan);
     }
   }
 }
@@ -439,8 +440,8 @@
   placed.place = *place;
   ++placed.run;
   ++current.possible_runs;
-  queued_core_ms_[current.service] -= CoreMs(current_step.plan);
-  admission_.RecordPlacement(CoreMs(current_step.plan));
+  queued_cpu_time_[current.service] -= CpuTime(current_step.plan);
+  admission_.RecordPlacement(CpuTime(current_step.plan));
   runs_placed_.Add();
   run_start start;
   start.endpoint = place->endpoint;
@@ -560,9 +561,9 @@
 
 service_backlog parallel_job_controller::ServiceBacklog(
     const service_id& service) const {
-  const auto queued = queued_core_ms_.find(service);
+  const auto queued = queued_cpu_time_.find(service);
   return {endpoints_.TotalCpu(service), endpoints_.UnusedCpu(service),
-          queued == queued_core_ms_.end() ? 0 : queued->second};
+          queued == queued_cpu_time_.end() ? milliseconds(0) : queued->second};
 }
 
 }  // namespace almond
--- a/src/libalmond/controllers/entry/parallel_job_controller.h
+++ b/src/libalmond/controllers/entry/parallel_job_controller.h
@@ -167,7 +167,7 @@
   job_admission admission_;
   run_queue queue_;
   std::unordered_map<job_id, std::unique_ptr<job>> jobs_;
-  std::map<service_id, std::int64_t> queued_core_ms_;
+  std::map<service_id, milliseconds> queued_cpu_time_;
   /// Tasks whose starts were sent to wait at an agent.
   std::set<waiting_task> waiting_orders_;
   caller_id last_caller_;
--- a/src/libalmond/operator_commands/config_commands.cc
+++ b/src/libalmond/operator_commands/config_commands.cc
@@ -93,9 +93,11 @@
   return body;
 }
 
-// Formats a time in UTC.
-std::string UtcTime(std::uint64_t epoch_ms) {
-  const auto seconds = static_cast<std::time_t>(epoch_ms / 1000);
+// Formats a time in UTC. Takes any number of milliseconds, as it may come from
+// a malformed reply.
+std::string UtcTime(milliseconds since_epoch) {
+  const std::time_t seconds =
+      std::chrono::floor<std::chrono::seconds>(since_epoch).count();
   std::tm parts{};
   std::string text(sizeof("YYYY-MM-DDTHH:MM:SSZ") + 8, '\0');
   if (gmtime_r(&seconds, &parts) == nullptr) return "-";
@@ -114,8 +116,8 @@
   for (const json& change : changes) {
     out << std::right << std::setw(8) << NumberMember(change, "version") << "  "
         << std::left << std::setw(20)
-        << UtcTime(NumberMember(change, "accepted_ms")) << "  " << std::setw(36)
-        << TextMember(change, "change_id") << "  "
+        << UtcTime(milliseconds(NumberMember(change, "accepted_ms"))) << "  "
+        << std::setw(36) << TextMember(change, "change_id") << "  "
         << TextMember(change, "digest") << "\n";
   }
 }
--- a/tests/entry_jobs/job_admission_test.cc
+++ b/tests/entry_jobs/job_admission_test.cc
@@ -14,7 +14,7 @@
     job_request job;
     job.timeout = timeout;
     return admission_.Check(job, milliseconds(100),
-                            {160'000, 0, queued_core_ms});
+                            {160'000, 0, milliseconds(queued_core_ms)});
   }
 
   manual_clock clock_;
@@ -32,7 +32,7 @@
                  "job admission / queue longer than the caller waits / refused "
                  "at once with the expected wait") {
   // This entry places 20 core-milliseconds of work per millisecond.
-  admission_.RecordPlacement(20'000);
+  admission_.RecordPlacement(milliseconds(20'000));
   const auto refused = Check(milliseconds(1500), 40'000);
   REQUIRE(refused);
   CHECK(refused->outcome == job_outcome::overloaded);
