--- a/review/standin/system.sh
+++ b/review/standin/system.sh
@@ -14,12 +14,19 @@
 : >"$record"
 work=$(mktemp -d) || exit 2
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
-free_port() {
-  local port=$((20000 + RANDOM % 10000))
-  while (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; do port=$((port + 1)); done
-  echo "$port"
+# The first of 20 ports in a row on which nothing listens.
+free_ports() {
+  local first port
+  while true; do
+    first=$((20000 + RANDOM % 10000))
+    for port in $(seq "$first" $((first + 19))); do
+      (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue 2
+    done
+    echo "$first"
+    return
+  done
 }
-control_port=$(free_port); front_port=$((control_port + 1)); ready_port=$((control_port + 2))
+control_port=$(free_ports); front_port=$((control_port + 1)); ready_port=$((control_port + 2))
 app_port=$((control_port + 3)); first_port=$((control_port + 10))
 service=svc-a
 declare -A pid_of address_of
