--- a/review/standin/system.sh
+++ b/review/standin/system.sh
@@ -1,5 +1,5 @@
 # Starts a small system on loopback addresses for the scripts of the review.
-# Sourced by run.sh of a case; $case_dir is the folder of the case.
+# Sourced by run.sh of a case, which sets $case_dir, its folder, and $trouble.
 #
 # 3 edge machines (control and entry), 3 side machines (agent and minion). Each
 # machine has an address of its own in 127.0.0.0/8.
@@ -9,7 +9,6 @@
 for program in target/almond-controld target/almond-entryd target/almond-agentd "$standin"; do
   [ -x "$program" ] || { echo "$program is missing: run the build and review/build.sh" >&2; exit 2; }
 done
-trouble=${TROUBLE:-1}
 record="$case_dir/record.txt"
 : >"$record"
 work=$(mktemp -d) || exit 2
