Log what is known of each run that is lost

The log of an agent did not tell, for a run reported as lost, which incarnation of the endpoint its start was sent to, whether the start was answered or the run was listed, and when the last renewal or start that carried a lease was sent.

endpoint_lost names the incarnation and the ages of the last renewal and start that carried a lease; run_lost has a line for each run.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -90,9 +90,11 @@
   starts_.Add();
   used_ += start.needed;
   const steady_time now = clock_.SteadyNow();
-  runs_.insert_or_assign(start.key,
-                         active_run{link, start.needed, phase::starting, now,
-                                    run_progress(now, start.estimate)});
+  runs_.insert_or_assign(
+      start.key,
+      active_run{link, start.needed, phase::starting, now,
+                 run_progress(now, start.estimate), endpoint_.incarnation});
+  last_start_sent_ = now;
   NotifyChange();
   hooks_.start(endpoint_, start, fence_, kLease,
                [this, key = start.key, epoch = epoch_](start_reply reply) {
@@ -169,6 +171,7 @@
   if (found == runs_.end()) return;
   switch (reply) {
     case start_reply::started:
+      found->second.start_answered = true;
       if (found->second.state == phase::starting) {
         found->second.state = phase::running;
       }
@@ -359,6 +362,7 @@
       StopForeignRun(*run.key);
       continue;
     }
+    found->second.listed = true;
     if (found->second.state == phase::starting) {
       found->second.state = phase::running;
     }
@@ -422,12 +426,18 @@
 
 void run_controller::LoseAllRuns(const char* cause) {
   endpoint_losses_.Add();
-  log_.Write("endpoint_lost",
-             {{"endpoint", endpoint_.id.Value()},
-              {"cause", cause},
-              {"runs", runs_.size()},
-              {"answer_age_ms",
-               Milliseconds(clock_.SteadyNow() - last_answered_renewal_)}});
+  log_.Write(
+      "endpoint_lost",
+      {{"endpoint", endpoint_.id.Value()},
+       {"incarnation", endpoint_.incarnation},
+       {"cause", cause},
+       {"runs", runs_.size()},
+       {"answer_age_ms",
+        Milliseconds(clock_.SteadyNow() - last_answered_renewal_)},
+       {"renewal_age_ms", Milliseconds(clock_.SteadyNow() - lease_extended_)},
+       {"start_age_ms", Milliseconds(clock_.SteadyNow() - last_start_sent_)},
+       {"lease_ms", kLease.count()}});
+  for (const auto& [key, run] : runs_) LogLostRun(key, run);
   ++epoch_;
   // Unanswered starts may still arrive at the endpoint, which refuses them once
   // it has seen a higher fencing token.
@@ -440,6 +450,20 @@
   NotifyChange();
 }
 
+void run_controller::LogLostRun(const run_key& key, const active_run& run) {
+  log_.Write("run_lost",
+             {{"job", key.job.Value()},
+              {"step", key.step},
+              {"index", key.index},
+              {"run", key.run},
+              {"endpoint", endpoint_.id.Value()},
+              {"incarnation", run.incarnation},
+              {"start_answered", run.start_answered},
+              {"listed", run.listed},
+              {"stopping", run.state == phase::stopping},
+              {"age_ms", Milliseconds(clock_.SteadyNow() - run.start_sent)}});
+}
+
 bool run_controller::Accepting() const {
   return present_ && lease_established_ && !foreign_runs_listed_ &&
          !endpoint_.leaving && !draining_ &&
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -176,6 +176,10 @@
     phase state = phase::starting;
     steady_time start_sent;
     run_progress progress;
+    /// Incarnation of the endpoint that the start was sent to.
+    std::uint64_t incarnation = 0;
+    bool start_answered = false;  ///< the endpoint answered that it runs
+    bool listed = false;          ///< the endpoint listed the run as running
     bool stop_in_flight = false;
     steady_time stop_sent = {};
     /// Time at which the endpoint acknowledged the stop.
@@ -216,6 +220,7 @@
   void StopStalledRuns();
   void End(const run_key& key, run_end_kind kind);
   void LoseAllRuns(const char* cause);
+  void LogLostRun(const run_key& key, const active_run& run);
   void Renew();
   void NotifyChange();
 
@@ -238,6 +243,7 @@
   /// Time at which the last answered renewal was sent.
   steady_time last_answered_renewal_;
   steady_time lease_extended_;  ///< time of the last extension of the lease
+  steady_time last_start_sent_;
   resources used_;
   std::map<run_key, active_run> runs_;
   std::vector<queued_start> queue_;
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -352,6 +352,26 @@
   CHECK(endpoint_.renewals.back().renewal.fence == fence);
 }
 
+// Guards against a lost run whose log does not show what is known about it.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / runs lost / logged with incarnation and "
+                 "answers") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.ReplyToStart();
+  endpoint_.AnswerRenewal();
+  AdvanceTime(milliseconds(40));
+  controller_.Start(kEntry, MakeStart(1));
+  AdvanceTime(milliseconds(1200), false);
+  CHECK(lines_.find("\"lease_ms\":700") != std::string::npos);
+  CHECK(lines_.find("\"start_age_ms\":") != std::string::npos);
+  const std::size_t first = lines_.find("run_lost");
+  REQUIRE(first != std::string::npos);
+  const std::size_t second = lines_.find("run_lost", first + 1);
+  REQUIRE(second != std::string::npos);
+  CHECK(lines_.find("\"listed\":true") != std::string::npos);
+  CHECK(lines_.find("\"start_answered\":false") != std::string::npos);
+}
+
 TEST_CASE_METHOD(run_controller_fixture,
                  "run controller / fencing token refused / raised before any "
                  "start") {
