Keep a run that a restarted endpoint may have begun

Cause: the agent ended all runs as lost when it learnt of a newer incarnation, also those whose start the new incarnation had received, and the entry started them again elsewhere. The id, which each call names, is the same in both incarnations, and the new one has seen no fencing token.

Now only runs that the former incarnation has listed end at once. The others are kept. The fencing token is raised, and once the new incarnation has answered a renewal with it, a run is in one of its lists, or it has not begun and cannot begin any more. The lists are asked for at once and without a lease, so that an unknown run is not prolonged. Without any answer the runs end after the longest lease that the endpoint grants. The same holds for announcements, for several restarts, and for starts that were not answered.

The test "new incarnation / runs lost at once" was wrong: a start that is only answered may have been answered by the new incarnation. It now demands the loss of a listed run, by both ways of learning of the restart.

A late answer to a renewal of an earlier epoch no longer counts as the answer to the renewal in flight.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -34,8 +34,7 @@
                        announced.leaving != endpoint_.leaving ||
                        announced.total != endpoint_.total;
   if (newer_incarnation && endpoint_.incarnation != 0) {
-    LoseAllRuns("endpoint announced a newer incarnation");
-    last_acknowledged_end_ = 0;
+    OnRestart("endpoint announced a newer incarnation");
   }
   endpoint_ = announced;
   present_ = true;
@@ -90,10 +89,10 @@
   starts_.Add();
   used_ += start.needed;
   const steady_time now = clock_.SteadyNow();
-  runs_.insert_or_assign(
-      start.key,
-      active_run{link, start.needed, phase::starting, now,
-                 run_progress(now, start.estimate), endpoint_.incarnation});
+  runs_.insert_or_assign(start.key,
+                         active_run{link, start.needed, phase::starting, now,
+                                    run_progress(now, start.estimate),
+                                    endpoint_.incarnation, fence_});
   last_start_sent_ = now;
   NotifyChange();
   hooks_.start(endpoint_, start, fence_, kLease,
@@ -272,6 +271,10 @@
       now - lease_extended_ >= kLeaseExpiryTimeout) {
     LoseAllRuns("lease expired without an answer from the endpoint");
   }
+  if (restart_detected_ &&
+      now - *restart_detected_ >= kMaxLeaseExpiryTimeout) {
+    LoseAllRuns("no answer from the restarted endpoint");
+  }
   std::vector<queued_start> timed_out;
   std::erase_if(queue_, [&](const queued_start& queued) {
     if (now - queued.arrived < kMaxQueueTime) return false;
@@ -294,30 +297,34 @@
   lease_renewal renewal{fence_, last_acknowledged_end_, std::nullopt,
                         kRenewalWait};
   if (!lease_established_) renewal.wait = milliseconds(0);
-  if (!lease_established_ ||
-      now - last_answered_renewal_ < kLeaseExtensionTimeout) {
+  const bool extend =
+      lease_established_ ? now - last_answered_renewal_ < kLeaseExtensionTimeout
+                         : runs_.empty();
+  if (extend) {
     renewal.lease = kLease;
     lease_extended_ = now;
   }
   renewal_in_flight_ = true;
   renewal_sent_ = now;
   hooks_.renew(endpoint_, renewal,
-               [this, now, epoch = epoch_](const auto& reply) {
+               [this, sent = sent_renewal{now, fence_},
+                epoch = epoch_](const auto& reply) {
+                 if (epoch != epoch_) return;
                  renewal_in_flight_ = false;
-                 if (epoch == epoch_) OnRenewal(now, reply);
+                 OnRenewal(sent, reply);
                });
 }
 
-void run_controller::OnRenewal(steady_time sent,
+void run_controller::OnRenewal(const sent_renewal& sent,
                                const std::optional<lease_reply>& reply) {
   // Retried by Tick, so that an endpoint that refuses is not called again
   // immediately.
   if (!reply) return;
   if (reply->incarnation > endpoint_.incarnation) {
-    LoseAllRuns("endpoint answered with a newer incarnation");
+    OnRestart("endpoint answered with a newer incarnation");
     endpoint_.incarnation = reply->incarnation;
     endpoint_.sequence = 0;
-    last_acknowledged_end_ = 0;
+    Renew();
     return;
   }
   if (reply->incarnation < endpoint_.incarnation) return;
@@ -329,8 +336,9 @@
     return;
   }
   const bool accepted = Accepting();
-  last_answered_renewal_ = sent;
+  last_answered_renewal_ = sent.at;
   lease_established_ = true;
+  restart_detected_.reset();
   ProcessEnded(*reply);
   ProcessRunning(sent, *reply);
   if (!Accepting()) RefuseQueued("not accepting");
@@ -346,7 +354,7 @@
   }
 }
 
-void run_controller::ProcessRunning(steady_time sent,
+void run_controller::ProcessRunning(const sent_renewal& sent,
                                     const lease_reply& reply) {
   foreign_runs_listed_ = false;
   std::set<run_key> listed;
@@ -366,19 +374,28 @@
     if (found->second.state == phase::starting) {
       found->second.state = phase::running;
     }
-    if (run.percent) found->second.progress.Update(*run.percent, sent);
+    if (run.percent) found->second.progress.Update(*run.percent, sent.at);
   }
   StopStalledRuns();
-  // If the stop of a run was acknowledged before this renewal was sent and the
-  // run is in neither list, it has not started and cannot start any more.
-  std::vector<run_key> never_started;
+  EndAbsentRuns(sent, listed);
+}
+
+void run_controller::EndAbsentRuns(const sent_renewal& sent,
+                                   const std::set<run_key>& listed) {
+  // A run in neither list does not run. It cannot start any more if its stop
+  // was acknowledged before this renewal was sent, or if the endpoint has seen
+  // a higher fencing token than that of its start.
+  std::vector<std::pair<run_key, run_end_kind>> absent;
   for (const auto& [key, run] : runs_) {
-    if (run.stop_acknowledged && *run.stop_acknowledged < sent &&
-        !listed.contains(key)) {
-      never_started.push_back(key);
+    if (listed.contains(key)) continue;
+    if (run.fence < sent.fence) {
+      LogLostRun(key, run);
+      absent.emplace_back(key, run_end_kind::lost);
+    } else if (run.stop_acknowledged && *run.stop_acknowledged < sent.at) {
+      absent.emplace_back(key, run_end_kind::stopped);
     }
   }
-  for (const run_key& key : never_started) End(key, run_end_kind::stopped);
+  for (const auto& [key, kind] : absent) End(key, kind);
 }
 
 void run_controller::StopStalledRuns() {
@@ -425,6 +442,46 @@
 }
 
 void run_controller::LoseAllRuns(const char* cause) {
+  LogLoss(cause);
+  InvalidateCalls();
+  while (!runs_.empty()) {
+    const auto [key, run] = *runs_.begin();
+    LogLostRun(key, run);
+    End(key, run_end_kind::lost);
+  }
+  NotifyChange();
+}
+
+void run_controller::OnRestart(const char* cause) {
+  LogLoss(cause);
+  InvalidateCalls();
+  last_acknowledged_end_ = 0;
+  restart_detected_ = clock_.SteadyNow();
+  std::vector<run_key> ended;
+  for (auto& [key, run] : runs_) {
+    if (run.listed) {
+      LogLostRun(key, run);
+      ended.push_back(key);
+      continue;
+    }
+    run.stop_in_flight = false;
+    run.stop_acknowledged.reset();
+  }
+  for (const run_key& key : ended) End(key, run_end_kind::lost);
+  NotifyChange();
+}
+
+void run_controller::InvalidateCalls() {
+  ++epoch_;
+  ++fence_;
+  lease_established_ = false;
+  renewal_in_flight_ = false;
+  restart_detected_.reset();
+  RefuseQueued("endpoint lost");
+  stopping_foreign_.clear();
+}
+
+void run_controller::LogLoss(const char* cause) {
   endpoint_losses_.Add();
   log_.Write(
       "endpoint_lost",
@@ -437,17 +494,6 @@
        {"renewal_age_ms", Milliseconds(clock_.SteadyNow() - lease_extended_)},
        {"start_age_ms", Milliseconds(clock_.SteadyNow() - last_start_sent_)},
        {"lease_ms", kLease.count()}});
-  for (const auto& [key, run] : runs_) LogLostRun(key, run);
-  ++epoch_;
-  // Unanswered starts may still arrive at the endpoint, which refuses them once
-  // it has seen a higher fencing token.
-  ++fence_;
-  lease_established_ = false;
-  renewal_in_flight_ = false;
-  RefuseQueued("endpoint lost");
-  stopping_foreign_.clear();
-  while (!runs_.empty()) End(run_key(runs_.begin()->first), run_end_kind::lost);
-  NotifyChange();
 }
 
 void run_controller::LogLostRun(const run_key& key, const active_run& run) {
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -94,6 +94,12 @@
   /// the runs.
   static constexpr milliseconds kLeaseExpiryTimeout{kLease * 102 / 100 +
                                                     milliseconds(51)};
+  /// Longest lease that an endpoint grants. Applies to calls that were sent to
+  /// an earlier incarnation of it, whose clock their deadlines refer to.
+  static constexpr milliseconds kMaxLease{1000};
+  /// As kLeaseExpiryTimeout, for a lease of kMaxLease.
+  static constexpr milliseconds kMaxLeaseExpiryTimeout{kMaxLease * 102 / 100 +
+                                                       milliseconds(51)};
   /// Maximum age of a start, measured by the agent's clock. Older starts are
   /// refused, because the entry may have given up on the link.
   static constexpr milliseconds kMaxStartAge{500};
@@ -176,10 +182,13 @@
     phase state = phase::starting;
     steady_time start_sent;
     run_progress progress;
-    /// Incarnation of the endpoint that the start was sent to.
+    /// Incarnation of the endpoint that the start was sent to. If the endpoint
+    /// restarted meanwhile, the new incarnation may have received the start.
     std::uint64_t incarnation = 0;
+    std::uint64_t fence = 0;      ///< fencing token of the start
     bool start_answered = false;  ///< the endpoint answered that it runs
-    bool listed = false;          ///< the endpoint listed the run as running
+    /// The current incarnation listed the run as running.
+    bool listed = false;
     bool stop_in_flight = false;
     steady_time stop_sent = {};
     /// Time at which the endpoint acknowledged the stop.
@@ -201,6 +210,12 @@
     }
   };
 
+  /// A renewal whose answer is expected.
+  struct sent_renewal {
+    steady_time at;
+    std::uint64_t fence = 0;
+  };
+
   bool Accepting() const;
   const char* Refusal(const run_start& start) const;
   void Refuse(link_id link, const run_start& start, const char* cause);
@@ -211,15 +226,24 @@
   void RefuseQueued(const char* cause);
   resources Unused() const;
   void OnStartReply(const run_key& key, start_reply reply);
-  void OnRenewal(steady_time sent, const std::optional<lease_reply>& reply);
+  void OnRenewal(const sent_renewal& sent,
+                 const std::optional<lease_reply>& reply);
   void ProcessEnded(const lease_reply& reply);
-  void ProcessRunning(steady_time sent, const lease_reply& reply);
+  void ProcessRunning(const sent_renewal& sent, const lease_reply& reply);
+  void EndAbsentRuns(const sent_renewal& sent, const std::set<run_key>& listed);
   void BeginStop(const run_key& key);
   void SendStop(const run_key& key);
   void StopForeignRun(const run_key& key);
   void StopStalledRuns();
   void End(const run_key& key, run_end_kind kind);
   void LoseAllRuns(const char* cause);
+  /// Ends the runs that were listed by the former incarnation. The others are
+  /// kept until the new one has listed its runs under a higher fencing token.
+  void OnRestart(const char* cause);
+  /// Ignores the callbacks of all calls in progress, and makes the endpoint
+  /// refuse those that arrive late.
+  void InvalidateCalls();
+  void LogLoss(const char* cause);
   void LogLostRun(const run_key& key, const active_run& run);
   void Renew();
   void NotifyChange();
@@ -231,8 +255,8 @@
   bool present_ = false;
   bool draining_ = false;
   std::uint64_t fence_;
-  /// Rises whenever all runs are given up as lost; callbacks of an older epoch
-  /// are ignored.
+  /// Rises whenever the endpoint is lost or has restarted; callbacks of an
+  /// older epoch are ignored.
   std::uint64_t epoch_ = 0;
   bool lease_established_ = false;  ///< the endpoint accepted fence_
   /// The last list had runs that this agent incarnation did not start.
@@ -244,6 +268,8 @@
   steady_time last_answered_renewal_;
   steady_time lease_extended_;  ///< time of the last extension of the lease
   steady_time last_start_sent_;
+  /// Set until the new incarnation has listed its runs.
+  std::optional<steady_time> restart_detected_;
   resources used_;
   std::map<run_key, active_run> runs_;
   std::vector<queued_start> queue_;
--- a/tests/agent_runs/fake_endpoint.h
+++ b/tests/agent_runs/fake_endpoint.h
@@ -84,6 +84,11 @@
     }
     call.reply(reply);
   }
+  /// Answers the newest renewal only; the earlier ones are lost.
+  void AnswerLastRenewal() {
+    renewals.erase(renewals.begin(), renewals.end() - 1);
+    AnswerRenewal();
+  }
   void RefuseRenewalAsFenced() {
     const renew_call call = std::move(renewals.front());
     renewals.pop_front();
@@ -97,6 +102,13 @@
     renewals.pop_front();
     call.reply(std::nullopt);
   }
+  /// Starts a new incarnation, which runs nothing.
+  void Restart() {
+    ++incarnation;
+    running.clear();
+    ended.clear();
+    last_end_ = 0;
+  }
   void EndRun(const run_key& key, run_end_kind kind) {
     running.erase(key);
     AddEnd(key, kind);
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -281,15 +281,103 @@
 }
 
 TEST_CASE_METHOD(run_controller_fixture,
-                 "run controller / new incarnation / runs lost at once") {
+                 "run controller / new incarnation / runs listed by the former "
+                 "one lost at once") {
   controller_.Start(kEntry, MakeStart(0));
   endpoint_.ReplyToStart();
-  controller_.OnAnnouncement(Announcement(2));
+  endpoint_.AnswerRenewal();
+  SECTION("announced") { controller_.OnAnnouncement(Announcement(2)); }
+  SECTION("answers a renewal") {
+    endpoint_.Restart();
+    endpoint_.AnswerRenewal();
+  }
   REQUIRE(ends_.size() == 1);
   CHECK(ends_[0].second.kind == run_end_kind::lost);
   CHECK_FALSE(controller_.State().accepting);
 }
 
+// Guards against a run that a restarted endpoint has begun and that is reported
+// as lost, so that a second run begins beside it.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / run begun by the new incarnation / kept "
+                 "until it ends") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.Restart();
+  SECTION("start answered") { endpoint_.ReplyToStart(); }
+  SECTION("start not answered yet") {
+    endpoint_.running.insert(MakeStart(0).key);
+  }
+  SECTION("start unanswered") {
+    endpoint_.running.insert(MakeStart(0).key);
+    endpoint_.starts.front().reply(start_reply::unanswered);
+  }
+  SECTION("restarted again, begun by the last incarnation") {
+    endpoint_.AnswerRenewal();
+    endpoint_.Restart();
+    endpoint_.ReplyToStart();
+  }
+  SECTION("announced before a renewal is answered") {
+    endpoint_.ReplyToStart();
+    controller_.OnAnnouncement(Announcement(endpoint_.incarnation));
+  }
+  endpoint_.AnswerRenewal();
+  CHECK(ends_.empty());
+  controller_.Tick();
+  endpoint_.AnswerLastRenewal();
+  CHECK(ends_.empty());
+  CHECK(UnusedCpu() == 3000);
+  endpoint_.EndRun(MakeStart(0).key, run_end_kind::done);
+  endpoint_.AnswerRenewal();
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::done);
+}
+
+// Guards against a start that a restarted endpoint executes after it has listed
+// its runs.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / start not listed by the new incarnation / "
+                 "lost once it has seen a higher fence") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.Restart();
+  endpoint_.AnswerRenewal();
+  CHECK(ends_.empty());
+  controller_.Tick();
+  REQUIRE(endpoint_.renewals.size() == 1);
+  CHECK(endpoint_.renewals.back().renewal.fence > kFirstFence);
+  CHECK_FALSE(endpoint_.renewals.back().renewal.lease);
+  endpoint_.AnswerRenewal();
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::lost);
+  CHECK(UnusedCpu() == 4000);
+}
+
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / run ended by the new incarnation / its end "
+                 "reported") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.Restart();
+  endpoint_.ReplyToStart();
+  endpoint_.EndRun(MakeStart(0).key, run_end_kind::done);
+  controller_.OnAnnouncement(Announcement(2));
+  endpoint_.AnswerLastRenewal();
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::done);
+}
+
+// Guards against runs that are kept for ever, or given up while the new
+// incarnation may still run them.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / new incarnation never answers / runs lost "
+                 "after the longest lease") {
+  controller_.Start(kEntry, MakeStart(0));
+  controller_.OnAnnouncement(Announcement(2));
+  AdvanceTime(milliseconds(1000), false);
+  CHECK(ends_.empty());
+  AdvanceTime(milliseconds(100), false);
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].second.kind == run_end_kind::lost);
+}
+
 // Guards against a run that holds its resources on an endpoint that accepts
 // tasks and does not work on them.
 TEST_CASE_METHOD(run_controller_fixture,
