Do not extend the lease of runs that were reported as lost

Cause, two faults in the agent's account of the lease: - A start extends the lease of everything on the endpoint, but the time at which all runs have ended was computed from renewals alone. Starts are sent for up to 0.4 s after the last answer, so the lease still ran when the runs were reported as lost. - After that report each renewal carried a lease again, as if nothing ran on the endpoint. One that arrived before the expiry prolonged the runs, and so did all that followed.

Evidence: at all twelve losses of a run the endpoint_lost line shows the last renewal with a lease 777 to 783 ms ago, as computed, and at eleven of them a later start, 684 to 769 ms ago. The runs went on after the report for up to 1.4 s, longer than the lease of any start.

Now the expiry counts from the last call that carried a lease, start or renewal, and allows for the inaccuracy of the clock reading that its deadline is computed from. A renewal carries a lease only after the endpoint has listed no unknown run under the present fencing token; until then it only requests the lists.

Related paths, same cause: an agent that restarts no longer prolongs runs of its former incarnation, and neither does one whose fencing token was refused. While unknown runs are listed, renewals wait for their end.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -267,14 +267,10 @@
   }
   for (const run_key& key : stops_to_retry) SendStop(key);
   const bool silent = now - last_answered_renewal_ >= kLeaseExtensionTimeout;
-  if (lease_established_ && silent &&
-      now - lease_extended_ >= kLeaseExpiryTimeout) {
+  if ((lease_established_ || !runs_.empty()) && silent &&
+      now >= LeaseExpiry()) {
     LoseAllRuns("lease expired without an answer from the endpoint");
   }
-  if (restart_detected_ &&
-      now - *restart_detected_ >= kMaxLeaseExpiryTimeout) {
-    LoseAllRuns("no answer from the restarted endpoint");
-  }
   std::vector<queued_start> timed_out;
   std::erase_if(queue_, [&](const queued_start& queued) {
     if (now - queued.arrived < kMaxQueueTime) return false;
@@ -296,13 +292,14 @@
   const steady_time now = clock_.SteadyNow();
   lease_renewal renewal{fence_, last_acknowledged_end_, std::nullopt,
                         kRenewalWait};
-  if (!lease_established_) renewal.wait = milliseconds(0);
-  const bool extend =
-      lease_established_ ? now - last_answered_renewal_ < kLeaseExtensionTimeout
-                         : runs_.empty();
-  if (extend) {
+  // The lists are needed at once, unless runs are known that have to end first.
+  if (!lease_established_ && !foreign_runs_listed_) {
+    renewal.wait = milliseconds(0);
+  }
+  if (lease_established_ &&
+      now - last_answered_renewal_ < kLeaseExtensionTimeout) {
     renewal.lease = kLease;
-    lease_extended_ = now;
+    last_lease_renewal_ = now;
   }
   renewal_in_flight_ = true;
   renewal_sent_ = now;
@@ -337,10 +334,10 @@
   }
   const bool accepted = Accepting();
   last_answered_renewal_ = sent.at;
-  lease_established_ = true;
   restart_detected_.reset();
   ProcessEnded(*reply);
   ProcessRunning(sent, *reply);
+  if (!foreign_runs_listed_) lease_established_ = true;
   if (!Accepting()) RefuseQueued("not accepting");
   if (accepted != Accepting()) NotifyChange();
   Renew();
@@ -491,7 +488,8 @@
        {"runs", runs_.size()},
        {"answer_age_ms",
         Milliseconds(clock_.SteadyNow() - last_answered_renewal_)},
-       {"renewal_age_ms", Milliseconds(clock_.SteadyNow() - lease_extended_)},
+       {"renewal_age_ms",
+        Milliseconds(clock_.SteadyNow() - last_lease_renewal_)},
        {"start_age_ms", Milliseconds(clock_.SteadyNow() - last_start_sent_)},
        {"lease_ms", kLease.count()}});
 }
@@ -510,6 +508,11 @@
               {"age_ms", Milliseconds(clock_.SteadyNow() - run.start_sent)}});
 }
 
+steady_time run_controller::LeaseExpiry() const {
+  if (restart_detected_) return *restart_detected_ + kMaxLeaseExpiryTimeout;
+  return std::max(last_lease_renewal_, last_start_sent_) + kLeaseExpiryTimeout;
+}
+
 bool run_controller::Accepting() const {
   return present_ && lease_established_ && !foreign_runs_listed_ &&
          !endpoint_.leaving && !draining_ &&
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -89,11 +89,13 @@
   /// The lease is not extended if no renewal was answered for this time, so
   /// that its expiry time is known.
   static constexpr milliseconds kLeaseExtensionTimeout{400};
-  /// Time after the last extension by which all runs on the endpoint have
-  /// ended: the lease measured by a clock that is 2% slow, and 50 ms to stop
-  /// the runs.
-  static constexpr milliseconds kLeaseExpiryTimeout{kLease * 102 / 100 +
-                                                    milliseconds(51)};
+  /// Time after the last call that carried a lease by which all runs on the
+  /// endpoint have ended: the lease measured by a clock that is 2% slow, the
+  /// same inaccuracy of the clock reading that the deadline was computed from,
+  /// and 50 ms to stop the runs.
+  static constexpr milliseconds kLeaseExpiryTimeout{
+      (kLease + kLeaseExtensionTimeout * 2 / 100) * 100 / 98 +
+      milliseconds(51)};
   /// Longest lease that an endpoint grants. Applies to calls that were sent to
   /// an earlier incarnation of it, whose clock their deadlines refer to.
   static constexpr milliseconds kMaxLease{1000};
@@ -244,6 +246,9 @@
   /// refuse those that arrive late.
   void InvalidateCalls();
   void LogLoss(const char* cause);
+  /// @returns the time by which all runs on the endpoint have ended, if it does
+  ///   not answer
+  steady_time LeaseExpiry() const;
   void LogLostRun(const run_key& key, const active_run& run);
   void Renew();
   void NotifyChange();
@@ -258,7 +263,10 @@
   /// Rises whenever the endpoint is lost or has restarted; callbacks of an
   /// older epoch are ignored.
   std::uint64_t epoch_ = 0;
-  bool lease_established_ = false;  ///< the endpoint accepted fence_
+  /// The endpoint accepted fence_ and has then listed no unknown run. Until
+  /// then no call extends the lease, since an unknown run may have been started
+  /// again elsewhere.
+  bool lease_established_ = false;
   /// The last list had runs that this agent incarnation did not start.
   bool foreign_runs_listed_ = false;
   std::uint64_t last_acknowledged_end_ = 0;
@@ -266,7 +274,9 @@
   steady_time renewal_sent_;  ///< time at which the last renewal was sent
   /// Time at which the last answered renewal was sent.
   steady_time last_answered_renewal_;
-  steady_time lease_extended_;  ///< time of the last extension of the lease
+  /// Times at which the last renewal with a lease and the last start were sent.
+  /// Both extend the lease of everything that runs on the endpoint.
+  steady_time last_lease_renewal_;
   steady_time last_start_sent_;
   /// Set until the new incarnation has listed its runs.
   std::optional<steady_time> restart_detected_;
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -460,6 +460,88 @@
   CHECK(lines_.find("\"start_answered\":false") != std::string::npos);
 }
 
+// Guards against runs that are reported as lost while a start that was sent
+// after the last renewal has extended their lease.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / start sent after the last renewal with a "
+                 "lease / runs lost after the lease of the start") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.ReplyToStart();
+  endpoint_.AnswerRenewal();
+  const auto last_start =
+      run_controller::kLeaseExtensionTimeout - run_controller::kTickPeriod;
+  AdvanceTime(last_start, false);
+  controller_.Start(kEntry, MakeStart(1));
+  REQUIRE(endpoint_.starts.size() == 1);
+  AdvanceTime(run_controller::kLeaseExpiryTimeout - run_controller::kTickPeriod,
+              false);
+  CHECK(ends_.empty());
+  AdvanceTime(2 * run_controller::kTickPeriod, false);
+  CHECK(ends_.size() == 2);
+}
+
+// Guards against a lease that is renewed for runs that were reported as lost.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / runs reported as lost / lease not extended "
+                 "until they are gone") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.ReplyToStart();
+  AdvanceTime(milliseconds(1300), false);
+  REQUIRE(ends_.size() == 1);
+  endpoint_.LoseRenewal();
+  controller_.Tick();
+  endpoint_.renewals.erase(endpoint_.renewals.begin(),
+                           endpoint_.renewals.end() - 1);
+  CHECK_FALSE(endpoint_.renewals.back().renewal.lease);
+  endpoint_.AnswerRenewal();
+  CHECK_FALSE(controller_.State().accepting);
+  REQUIRE(endpoint_.renewals.size() == 1);
+  CHECK_FALSE(endpoint_.renewals.back().renewal.lease);
+  CHECK(endpoint_.renewals.back().renewal.wait == run_controller::kRenewalWait);
+  endpoint_.ReplyToStop();
+  endpoint_.AnswerRenewal();
+  CHECK(controller_.State().accepting);
+  CHECK(endpoint_.renewals.back().renewal.lease);
+}
+
+// Guards against an agent that restarts and renews the lease of runs that its
+// former incarnation has started.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / first renewal / only requests the lists") {
+  fake_endpoint endpoint;
+  run_controller::hooks hooks;
+  endpoint.AddHooks(hooks);
+  hooks.on_end = [](link_id, const run_end&) {};
+  run_controller controller(clock_, log_, metrics_, kFirstFence, hooks);
+  controller.OnAnnouncement(Announcement());
+  REQUIRE(endpoint.renewals.size() == 1);
+  CHECK_FALSE(endpoint.renewals.back().renewal.lease);
+  SECTION("nothing runs") {
+    endpoint.AnswerRenewal();
+    CHECK(endpoint.renewals.back().renewal.lease);
+  }
+  SECTION("runs are listed") {
+    endpoint.running.insert({job_id("k"), 0, 0, 7, 3});
+    endpoint.AnswerRenewal();
+    CHECK_FALSE(endpoint.renewals.back().renewal.lease);
+  }
+}
+
+// Guards against runs that are given up at once because the endpoint has seen a
+// higher fencing token.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / renewal refused as fenced / runs kept") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.ReplyToStart();
+  endpoint_.AnswerRenewal();
+  endpoint_.RefuseRenewalAsFenced();
+  AdvanceTime(run_controller::kTickPeriod, false);
+  CHECK(ends_.empty());
+  endpoint_.AnswerRenewal();
+  CHECK(ends_.empty());
+  CHECK(controller_.State().accepting);
+}
+
 TEST_CASE_METHOD(run_controller_fixture,
                  "run controller / fencing token refused / raised before any "
                  "start") {
