Start nothing on a restarted endpoint before it has announced itself

Cause: an agent that learns of a restart from a renewal kept the resources and the leaving flag that the former incarnation had announced.

Now starts are refused as not run until the new incarnation has announced itself. The new test failed before. Starts between the restart and the first answer are not covered.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -30,7 +30,7 @@
   const bool newer_incarnation = announced.incarnation > endpoint_.incarnation;
   if (announced.incarnation < endpoint_.incarnation) return;
   if (!newer_incarnation && announced.sequence <= endpoint_.sequence) return;
-  const bool changed = newer_incarnation || !present_ ||
+  const bool changed = newer_incarnation || !present_ || !announced_ ||
                        announced.leaving != endpoint_.leaving ||
                        announced.total != endpoint_.total;
   if (newer_incarnation && endpoint_.incarnation != 0) {
@@ -38,6 +38,7 @@
   }
   endpoint_ = announced;
   present_ = true;
+  announced_ = true;
   if (!changed) return;
   log_.Write("endpoint", {{"endpoint", endpoint_.id.Value()},
                           {"incarnation", endpoint_.incarnation},
@@ -321,6 +322,7 @@
     OnRestart("endpoint answered with a newer incarnation");
     endpoint_.incarnation = reply->incarnation;
     endpoint_.sequence = 0;
+    announced_ = false;
     Renew();
     return;
   }
@@ -514,8 +516,8 @@
 }
 
 bool run_controller::Accepting() const {
-  return present_ && lease_established_ && !foreign_runs_listed_ &&
-         !endpoint_.leaving && !draining_ &&
+  return present_ && announced_ && lease_established_ &&
+         !foreign_runs_listed_ && !endpoint_.leaving && !draining_ &&
          clock_.SteadyNow() - last_answered_renewal_ < kLeaseExtensionTimeout;
 }
 
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -258,6 +258,9 @@
   hooks hooks_;
   leased_endpoint endpoint_;
   bool present_ = false;
+  /// The current incarnation has announced itself; otherwise endpoint_ holds
+  /// the resources and the state of the former one.
+  bool announced_ = false;
   bool draining_ = false;
   std::uint64_t fence_;
   /// Rises whenever the endpoint is lost or has restarted; callbacks of an
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -378,6 +378,25 @@
   CHECK(ends_[0].second.kind == run_end_kind::lost);
 }
 
+// Guards against a restarted endpoint that is filled up to the resources of its
+// former incarnation.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / new incarnation not announced yet / starts "
+                 "refused") {
+  endpoint_.Restart();
+  endpoint_.AnswerRenewal();
+  controller_.Tick();
+  endpoint_.AnswerLastRenewal();
+  CHECK_FALSE(controller_.State().accepting);
+  controller_.Start(kEntry, MakeStart(0, 4000));
+  CHECK(endpoint_.starts.empty());
+  leased_endpoint smaller = Announcement(2);
+  smaller.total = {2000, 1000, 0};
+  controller_.OnAnnouncement(smaller);
+  CHECK(controller_.State().accepting);
+  CHECK(UnusedCpu() == 2000);
+}
+
 // Guards against a run that holds its resources on an endpoint that accepts
 // tasks and does not work on them.
 TEST_CASE_METHOD(run_controller_fixture,
