Acknowledge no end after a renewal that was not answered

What callers could see: a task that had run was run again.

Cause: after a restart the agent repeated its renewals, each of which acknowledged the ends of the former incarnation by their numbers. A new incarnation numbers its ends anew and forgets those up to the acknowledged one before it is known to be new, so a run that it had finished by then was in neither of its lists.

Now the renewal after an unanswered one acknowledges nothing, until an answer shows the incarnation.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -284,7 +284,10 @@
   }
   if (!timed_out.empty()) NotifyChange();
   // A replaced connection pool never reports the result of its last renewal.
-  if (now - renewal_sent_ >= kRenewalTimeout) renewal_in_flight_ = false;
+  if (renewal_in_flight_ && now - renewal_sent_ >= kRenewalTimeout) {
+    renewal_in_flight_ = false;
+    renewal_lost_ = true;
+  }
   if (present_ && !renewal_in_flight_) Renew();
 }
 
@@ -293,6 +296,11 @@
   const steady_time now = clock_.SteadyNow();
   lease_renewal renewal{fence_, last_acknowledged_end_, std::nullopt,
                         kRenewalWait};
+  // A new incarnation is to be detected at once, and numbers its ends anew.
+  if (renewal_lost_) {
+    renewal.wait = milliseconds(0);
+    renewal.acknowledged = 0;
+  }
   // The lists are needed at once, unless runs are known that have to end first.
   if (!lease_established_ && !foreign_runs_listed_) {
     renewal.wait = milliseconds(0);
@@ -315,6 +323,7 @@
 
 void run_controller::OnRenewal(const sent_renewal& sent,
                                const std::optional<lease_reply>& reply) {
+  renewal_lost_ = !reply;
   // Retried by Tick, so that an endpoint that refuses is not called again
   // immediately.
   if (!reply) return;
@@ -475,6 +484,7 @@
   ++fence_;
   lease_established_ = false;
   renewal_in_flight_ = false;
+  renewal_lost_ = true;
   restart_detected_.reset();
   RefuseQueued("endpoint lost");
   stopping_foreign_.clear();
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -275,6 +275,8 @@
   std::uint64_t last_acknowledged_end_ = 0;
   bool renewal_in_flight_ = false;
   steady_time renewal_sent_;  ///< time at which the last renewal was sent
+  /// The last renewal was not answered, so the endpoint may have restarted.
+  bool renewal_lost_ = false;
   /// Time at which the last answered renewal was sent.
   steady_time last_answered_renewal_;
   /// Times at which the last renewal with a lease and the last start were sent.
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -397,6 +397,30 @@
   CHECK(UnusedCpu() == 2000);
 }
 
+// Guards against an end that a restarted endpoint forgets because the numbers
+// of its former incarnation are acknowledged, so that the task runs again.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / renewal unanswered / next one acknowledges "
+                 "nothing and does not wait") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.ReplyToStart();
+  endpoint_.EndRun(MakeStart(0).key, run_end_kind::done);
+  endpoint_.AnswerRenewal();
+  CHECK(endpoint_.renewals.back().renewal.acknowledged == 1);
+  SECTION("no answer") { endpoint_.LoseRenewal(); }
+  SECTION("no result of the call") {
+    clock_.Advance(run_controller::kRenewalTimeout);
+  }
+  controller_.Tick();
+  REQUIRE_FALSE(endpoint_.renewals.empty());
+  CHECK(endpoint_.renewals.back().renewal.acknowledged == 0);
+  CHECK(endpoint_.renewals.back().renewal.wait == milliseconds(0));
+  endpoint_.AnswerLastRenewal();
+  REQUIRE_FALSE(endpoint_.renewals.empty());
+  CHECK(endpoint_.renewals.back().renewal.acknowledged == 1);
+  CHECK(ends_.size() == 1);
+}
+
 // Guards against a run that holds its resources on an endpoint that accepts
 // tasks and does not work on them.
 TEST_CASE_METHOD(run_controller_fixture,
