Keep the runs of a departed endpoint while it answers

What callers could see: two runs of a task at the same time.

Cause: a departure message ended all runs as lost at once. The message names the endpoint and not its incarnation, so a late one of an earlier incarnation ended the runs of the present one, which worked on. A departing endpoint may also still run for a moment.

Now a departure refuses further starts, and the lists are requested as before while there are runs: they end as listed, or are lost once the lease has expired without an answer.

The new test failed before.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -50,8 +50,11 @@
 
 void run_controller::OnDeparture() {
   if (!present_) return;
-  LoseAllRuns("endpoint departed");
   present_ = false;
+  log_.Write("endpoint_departed", {{"endpoint", endpoint_.id.Value()},
+                                   {"incarnation", endpoint_.incarnation},
+                                   {"runs", runs_.size()}});
+  RefuseQueued("endpoint departed");
   NotifyChange();
 }
 
@@ -288,11 +291,11 @@
     renewal_in_flight_ = false;
     renewal_lost_ = true;
   }
-  if (present_ && !renewal_in_flight_) Renew();
+  if (!renewal_in_flight_) Renew();
 }
 
 void run_controller::Renew() {
-  if (renewal_in_flight_ || !present_) return;
+  if (renewal_in_flight_ || (!present_ && runs_.empty())) return;
   const steady_time now = clock_.SteadyNow();
   lease_renewal renewal{fence_, last_acknowledged_end_, std::nullopt,
                         kRenewalWait};
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -155,7 +155,9 @@
   /// Handles an announcement of the endpoint. Ignored if it is from an older
   /// incarnation, or not newer than the last one of the same incarnation.
   void OnAnnouncement(const leased_endpoint& announced);
-  /// Handles a departure message of the endpoint.
+  /// Handles a departure message of the endpoint, which may be a late one of an
+  /// earlier incarnation. Its runs are kept while it answers, or until their
+  /// lease has expired.
   void OnDeparture();
   /// Starts a run, queues it for free resources, or refuses it as not run.
   void Start(link_id link, const run_start& start);
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -421,6 +421,42 @@
   CHECK(ends_.size() == 1);
 }
 
+// Guards against a second run beside one that an endpoint still works on after
+// a late departure message of its former incarnation.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / departure / runs kept while the endpoint "
+                 "answers") {
+  controller_.Start(kEntry, MakeStart(0));
+  endpoint_.ReplyToStart();
+  endpoint_.AnswerRenewal();
+  controller_.OnDeparture();
+  CHECK_FALSE(controller_.State().accepting);
+  CHECK(ends_.empty());
+  SECTION("answers: until their end") {
+    AdvanceTime(milliseconds(2000));
+    CHECK(ends_.empty());
+    endpoint_.EndRun(MakeStart(0).key, run_end_kind::done);
+    AdvanceTime(run_controller::kTickPeriod);
+    REQUIRE(ends_.size() == 1);
+    CHECK(ends_[0].second.kind == run_end_kind::done);
+  }
+  SECTION("does not answer: until their lease has expired") {
+    AdvanceTime(run_controller::kLease, false);
+    CHECK(ends_.empty());
+    AdvanceTime(milliseconds(100), false);
+    REQUIRE(ends_.size() == 1);
+    CHECK(ends_[0].second.kind == run_end_kind::lost);
+    endpoint_.renewals.clear();
+    AdvanceTime(milliseconds(100), false);
+    CHECK(endpoint_.renewals.empty());
+  }
+  SECTION("announced again: accepts starts") {
+    controller_.OnAnnouncement(Announcement());
+    CHECK(controller_.State().accepting);
+    CHECK(ends_.empty());
+  }
+}
+
 // Guards against a run that holds its resources on an endpoint that accepts
 // tasks and does not work on them.
 TEST_CASE_METHOD(run_controller_fixture,
