--- a/review/stand-ins-2/system.sh
+++ b/review/stand-ins-2/system.sh
@@ -8,7 +8,20 @@
 : > "$record"
 pids=()
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
-front=18080 ready=18081 control=18082 ports=18090,18105
+
+# Chooses ports on which nothing listens, below the range of outgoing connections.
+port_in_use() {
+  awk -v port="$(printf ':%04X' "$1")" \
+    '$4 == "0A" && substr($2, length($2) - 4) == port { found = 1 } END { exit !found }' \
+    /proc/net/tcp /proc/net/tcp6 2>/dev/null
+}
+for attempt in $(seq 1 50); do
+  base=$((RANDOM % 20000 + 10240)); busy=false
+  for port in $(seq "$base" $((base + 29))); do port_in_use "$port" && { busy=true; break; }; done
+  $busy || break
+done
+front=$base ready=$((base + 1)) control=$((base + 2)) app=$((base + 3))
+ports=$((base + 10)),$((base + 25))
 seeds="$net.1:$control,$net.2:$control,$net.3:$control"
 
 note() { echo "$(date +%s%3N) test $*" >> "$record"; }
@@ -61,7 +74,7 @@
 # start_minion NUMBER CPU
 start_minion() {
   local ip="$net.$((100 + $1))"
-  target/review-2/minion "$ip:18200" "$ip:$control" "i-$1" geurmatch zone-1 "$2" "$record" \
+  target/review-2/minion "$ip:$app" "$ip:$control" "i-$1" geurmatch zone-1 "$2" "$record" \
     >> "$work/minion-$1.log" 2>&1 &
   last=$!; pids+=("$last")
 }
