--- a/review/stand-ins-2/system.sh
+++ b/review/stand-ins-2/system.sh
@@ -71,10 +71,10 @@
   last=$!; pids+=("$last")
 }
 
-# start_minion NUMBER CPU
+# start_minion NUMBER CPU [FIRST_HEARTBEAT_MS]
 start_minion() {
   local ip="$net.$((100 + $1))"
-  target/review-2/minion "$ip:$app" "$ip:$control" "i-$1" geurmatch zone-1 "$2" "$record" \
+  target/review-2/minion "$ip:$app" "$ip:$control" "i-$1" geurmatch zone-1 "$2" "$record" "${3:-0}" \
     >> "$work/minion-$1.log" 2>&1 &
   last=$!; pids+=("$last")
 }
