--- a/review/stand-ins-2/minion.cc
+++ b/review/stand-ins-2/minion.cc
@@ -2,7 +2,8 @@
 // on its machine and runs tasks under a lease. The spec of a task is the time
 // in milliseconds that it works.
 //
-//   minion IP:PORT AGENT_IP:PORT ID SERVICE ZONE CPU RECORD [FIRST_HEARTBEAT_MS]
+//   minion IP:PORT AGENT_IP:PORT ID SERVICE ZONE CPU RECORD
+//   [FIRST_HEARTBEAT_MS]
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
@@ -146,8 +147,8 @@
   void ExtendLease(const json& body) {
     const auto deadline = body.find("deadline_ms");
     if (deadline == body.end()) return;
-    lease_ = std::max(lease_, std::min(deadline->get<std::int64_t>(),
-                                       Clock() + kMaxLeaseMs));
+    lease_ = std::max(
+        lease_, std::min(deadline->get<std::int64_t>(), Clock() + kMaxLeaseMs));
   }
 
   http_response Json(int status, json body) const {
@@ -159,9 +160,9 @@
   http_response Lists() const {
     json running = json::array();
     for (const auto& [task, state] : running_) {
-      const std::int64_t percent = std::min<std::int64_t>(
-          99, (Clock() - state.started) * 100 /
-                  std::max<std::int64_t>(1, state.work));
+      const std::int64_t percent =
+          std::min<std::int64_t>(99, (Clock() - state.started) * 100 /
+                                         std::max<std::int64_t>(1, state.work));
       running.push_back({task, state.run, "", percent, 0});
     }
     json ended = json::array();
@@ -187,8 +188,8 @@
     if (body["deadline_ms"].get<std::int64_t>() <= Clock()) {
       return Json(409, {{"reason", "late"}});
     }
-    running_[task] = {run, Clock(), std::atoll(
-        body["spec"].get<std::string>().c_str())};
+    running_[task] = {run, Clock(),
+                      std::atoll(body["spec"].get<std::string>().c_str())};
     Record("start", task, run, "");
     return Json(200, json::object());
   }
