--- a/review/stand-ins-3/fleet.cc
+++ b/review/stand-ins-2/fleet.cc
@@ -80,8 +80,8 @@
   const auto colon = address.rfind(':');
   sockaddr_in to{};
   to.sin_family = AF_INET;
-  to.sin_port = htons(
-      static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+  to.sin_port =
+      htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
   inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const timeval limit{timeout_ms / 1000, timeout_ms % 1000 * 1000};
@@ -302,8 +302,8 @@
 
   void ExtendLease(const json& body) {
     if (!body.contains("deadline_ms")) return;
-    const auto deadline = std::min(body["deadline_ms"].get<std::int64_t>(),
-                                   Clock() + kHoldMaxMs);
+    const auto deadline =
+        std::min(body["deadline_ms"].get<std::int64_t>(), Clock() + kHoldMaxMs);
     lease_ = std::max(lease_, deadline);
   }
 
@@ -457,32 +457,31 @@
 }
 
 bool SendConfig(const setup& system) {
-  const json config = {
-      {"version", 7},
-      {"routes",
-       {{{"name", "r-1"},
-         {"host", kHost},
-         {"path_prefix", kPrefix},
-         {"type", "non_idempotent"},
-         {"timeout_ms", 6000},
-         {"slo_ms", 60},
-         {"priority", 0},
-         {"service", system.service},
-         {"attempts", 3},
-         {"stretch", 1.6}}}},
-      {"services",
-       {{{"name", system.service},
-         {"health_path", "/healthz"},
-         {"max_conns", 64},
-         {"protocol", "h1"},
-         {"tls", false},
-         {"admission_check", false},
-         {"spare", false}}}},
-      {"limits",
-       {{"max_header_bytes", 16384},
-        {"max_body_bytes", 262144},
-        {"header_timeout_ms", 3000},
-        {"idle_timeout_ms", 15000}}}};
+  const json config = {{"version", 7},
+                       {"routes",
+                        {{{"name", "r-1"},
+                          {"host", kHost},
+                          {"path_prefix", kPrefix},
+                          {"type", "non_idempotent"},
+                          {"timeout_ms", 6000},
+                          {"slo_ms", 60},
+                          {"priority", 0},
+                          {"service", system.service},
+                          {"attempts", 3},
+                          {"stretch", 1.6}}}},
+                       {"services",
+                        {{{"name", system.service},
+                          {"health_path", "/healthz"},
+                          {"max_conns", 64},
+                          {"protocol", "h1"},
+                          {"tls", false},
+                          {"admission_check", false},
+                          {"spare", false}}}},
+                       {"limits",
+                        {{"max_header_bytes", 16384},
+                         {"max_body_bytes", 262144},
+                         {"header_timeout_ms", 3000},
+                         {"idle_timeout_ms", 15000}}}};
   for (int attempt = 0; attempt < 100; ++attempt) {
     std::string address = system.control[attempt % system.control.size()];
     for (int hop = 0; hop < 3 && !address.empty(); ++hop) {
@@ -527,8 +526,7 @@
          std::to_string(deadline_ms) + " ms");
   const message answer =
       Call(front, "POST", kPrefix + id, kHost,
-           "X-Almondproxy-Deadline-Ms: " + std::to_string(deadline_ms) +
-               "\r\n",
+           "X-Almondproxy-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n",
            job.dump(), deadline_ms);
   Record("client gets " + std::to_string(answer.status) + " for job " + id +
          " " + answer.body);
@@ -600,11 +598,11 @@
       other["born"] = WallMs();
       other["seq"] = 1;
       const message answer =
-          Call(worker->Agent(), "PUT",
-               "/almondproxy/instances/" + worker->Id(), worker->Agent(), "",
-               other.dump(), 1000);
+          Call(worker->Agent(), "PUT", "/almondproxy/instances/" + worker->Id(),
+               worker->Agent(), "", other.dump(), 1000);
       Record("another writer's heartbeat for " + worker->Id() +
-             " (capacity is a text, version a number) is answered " + std::to_string(answer.status));
+             " (capacity is a text, version a number) is answered " +
+             std::to_string(answer.status));
     }
     client.join();
     SleepMs(1200);
@@ -614,42 +612,6 @@
   return broken > 0 ? 1 : 0;
 }
 
-// A client cancels its job while the job is at work.
-int Cancel(const setup& system) {
-  constexpr int kCancelMs = 3000;
-  constexpr int kStopMs = 50;
-  const std::string job = "5c0e7a21d94b36f8";
-  std::thread client(
-      [&] { Submit(system.front[0], job, 2, 5000, 6000); });
-  if (AwaitRun(system, job) == nullptr) {
-    client.join();
-    return 2;
-  }
-  SleepMs(300);
-  std::int64_t cancelled = -1;
-  if (system.trouble) {
-    const message answer = Call(system.front[0], "DELETE", kPrefix + job,
-                                kHost, "", "", 1000);
-    Record("client's DELETE of job " + job + " is answered " +
-           std::to_string(answer.status) + " " + answer.body);
-    if (answer.status == 410 || (answer.status >= 200 && answer.status < 300)) {
-      cancelled = NowMs();
-    }
-  }
-  client.join();
-  SleepMs(500);
-  int broken = 0;
-  for (const run_interval& run : Runs(job)) {
-    const auto to = run.to < 0 ? NowMs() : run.to;
-    if (cancelled < 0 || to <= cancelled + kCancelMs + kStopMs) continue;
-    Record("UNASKED broken: task " + run.task + " ran on " + run.minion +
-           " until " + std::to_string(to - cancelled) +
-           " ms after its cancelling was acknowledged");
-    broken = 1;
-  }
-  return broken;
-}
-
 }  // namespace
 
 int main(int count, char** words) {
@@ -685,7 +647,6 @@
   SleepMs(3000);
   int status = 2;
   if (scenario == "other-writer") status = OtherWriter(system);
-  if (scenario == "cancel") status = Cancel(system);
   if (status == 0) Record("held");
   std::fflush(nullptr);
   std::_Exit(status);
--- a/review/stand-ins-2/system.sh
+++ b/review/stand-ins-2/system.sh
@@ -2,7 +2,7 @@
 # addresses with the commands of deploy/system.toml and settings rendered from
 # the templates beside it. Sourced by run.sh from the repository's root; `record`
 # is the record.txt of the case: what was sent, answered and run. Lines of the
-# script and its clients have "test" as their second word, the others are the minion's.
+# script have "test" as their second word.
 
 work=$(mktemp -d)
 : > "$record"
@@ -74,14 +74,6 @@
   last=$!; pids+=("$last")
 }
 
-# start_minion NUMBER CPU [FIRST_HEARTBEAT_MS]
-start_minion() {
-  local ip="$net.$((100 + $1))"
-  target/review-2/minion "$ip:$app" "$ip:$control" "i-$1" geurmatch zone-1 "$2" "$record" "${3:-0}" \
-    >> "$work/minion-$1.log" 2>&1 &
-  last=$!; pids+=("$last")
-}
-
 # configuration VERSION: a configuration with one queue
 configuration() {
   cat <<JSON
