--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0: a tenth as many.
 set -u
 cd "$(dirname "$0")/../.."
-case=review/10
+record=review/10/record.txt
 max_fds=4100
 ulimit -n 8192 2>/dev/null || { echo "cannot run: the limit on descriptors is too low" >&2; exit 2; }
 source review/stand-ins-2/system.sh
@@ -37,8 +37,11 @@
   for _ in $(seq 1 $users); do
     { exec {fd}<>"/dev/tcp/$net.$1/$front"; } 2>/dev/null || break
     connections+=("$fd")
-    printf 'GET /work/ HTTP/1.1\r\nHost: queue.example\r\n\r\n' >&"$fd" 2>/dev/null || break
-    IFS= read -r -t 1 line <&"$fd" || break
+    line=
+    printf 'GET /queue/ HTTP/1.1\r\nHost: queue.example\r\n\r\n' >&"$fd" 2>/dev/null || break
+    IFS= read -r -t 1 line <&"$fd" 2>/dev/null
+    note "user ${#connections[@]} sends GET to entry $1, gets ${line%$'\r'}"
+    [[ -n $line ]] || break
     [[ $line == *" 200 "* ]] && answers=$((answers + 1))
   done
 }
@@ -55,8 +58,9 @@
     (curl -s -o /dev/null -w '%{http_code}' --max-time 20 -X POST -H 'Host: queue.example' \
       -H 'Content-Type: application/json' -H 'X-Almondproxy-Deadline-Ms: 20000' \
       --data '{"spec":"5000","best_effort":true,"steps":[{"count":1,"cpu":1000,"mem_mb":64,"est_ms":5000}]}' \
-      "http://$net.$number:$front/work/$job" > "$work/job-$job") &
+      "http://$net.$number:$front/queue/$job" > "$work/job-$job") &
     client=$!
+    note "client sends job $job to entry $number"
     sleep 0.5
     users_come $number
     note "entry $number, round $round: ${#connections[@]} connections, $answers answered with 200"
--- a/review/stand-ins-2/system.sh
+++ b/review/stand-ins-2/system.sh
@@ -1,10 +1,10 @@
 # Functions for the scripts of the review: starts a small system on loopback
 # addresses with the commands of deploy/system.toml and settings rendered from
-# the templates beside it. Sourced by run.sh from the repository's root; `case`
-# is the folder of the case.
+# the templates beside it. Sourced by run.sh from the repository's root; `record`
+# is the record.txt of the case: what was sent, answered and run. Lines of the
+# script and its clients have "test" as their second word, the others are the minion's.
 
 work=$(mktemp -d)
-record="$case/record.txt"
 : > "$record"
 pids=()
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
@@ -24,7 +24,10 @@
 ports=$((base + 10)),$((base + 25))
 seeds="$net.1:$control,$net.2:$control,$net.3:$control"
 
-note() { echo "$(date +%s%3N) test $*" >> "$record"; }
+note() {
+  local micros=${EPOCHREALTIME//[.,]/}
+  echo "${micros%???} test $*" >> "$record"
+}
 
 cleanup() {
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
@@ -82,7 +85,7 @@
 # configuration VERSION: a configuration with one queue
 configuration() {
   cat <<JSON
-{"version":$1,"routes":[{"name":"r-1","host":"queue.example","path_prefix":"/work/","type":"non_idempotent","timeout_ms":1500,"slo_ms":60,"priority":0,"service":"geurmatch","attempts":3,"stretch":1.6}],"services":[{"name":"geurmatch","health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_check":false,"spare":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
+{"version":$1,"routes":[{"name":"r-1","host":"queue.example","path_prefix":"/queue/","type":"non_idempotent","timeout_ms":1500,"slo_ms":60,"priority":0,"service":"geurmatch","attempts":3,"stretch":1.6}],"services":[{"name":"geurmatch","health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_check":false,"spare":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
 JSON
 }
 
@@ -93,6 +96,7 @@
     status=$(curl -s -L --post301 --post302 -o /dev/null -w '%{http_code}' --max-time 2 -X PUT \
       -H 'Content-Type: application/json' --data-binary "@$1" \
       "http://$net.$((try % 3 + 1)):$control/almondproxy/config")
+    note "operator sends a configuration to control $((try % 3 + 1)), gets $status"
     [[ $status == 200 ]] && return 0
     sleep 0.2
   done
