log output: never wait for a reader of the log

Cause: LOG writes through std::cout on the loop's thread to a blocking descriptor, some lines for each change. Once the pipe holds 64 KiB, the process sleeps in the write. Entries and agents used a second, non-blocking output beside it, by setting O_NONBLOCK on the open file that they share with others.

Evidence: six control processes with stopped collectors acknowledged 251 changes and not the next one; three of them slept in anon_pipe_write.

Change: one bounded output for all lines of a process (log_output), which drops whole lines and reports their number in their place. The daemons replace both standard streams by non-blocking descriptions of their own, which also covers messages of libraries. JSON lines escape the message.

Why it works: no write of a daemon to a pipe, socket or terminal can block, and what waits is bounded. A regular file can still wait for its disk.

--- a/src/agentd/main.cc
+++ b/src/agentd/main.cc
@@ -5,9 +5,11 @@
 #include <iostream>
 
 #include "libalmond/core/logging.h"
+#include "libalmond/core/standard_streams.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/processes/agent_control.h"
 #include "libalmond/processes/agent_process.h"
+#include "libalmond/processes/daemon_log.h"
 #include "platform/programs.h"
 
 DEFINE_string(id, "", "Id of this agent, unique among all agents; required.");
@@ -116,6 +118,7 @@
   }
   LOG(INFO) << "agent " << FLAGS_id << " listens on "
             << agent.HttpAddress().ToString();
+  const event_handle flush_log = FlushLogPeriodically(loop);
   const shutdown on_signal(loop, agent);
   loop.Run();
   return on_signal.ExitCode();
@@ -125,6 +128,7 @@
 }  // namespace almond
 
 int main(int argc, char** argv) {
+  almond::MakeStandardStreamsNonBlocking();
   gflags::SetUsageMessage(
       "almondproxy agent: runs tasks on one endpoint. Each flag can also be "
       "set in the environment as FLAGS_name with --fromenv=name.");
--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -7,8 +7,10 @@
 #include <string>
 
 #include "libalmond/core/logging.h"
+#include "libalmond/core/standard_streams.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/processes/control_process.h"
+#include "libalmond/processes/daemon_log.h"
 #include "platform/programs.h"
 
 DEFINE_string(id, "", "id of this replica; must be listed in --replicas");
@@ -101,6 +103,7 @@
     return 1;
   }
   const auto stop = [&loop] { loop.Stop(); };
+  const event_handle flush_log = FlushLogPeriodically(loop);
   const event_handle on_terminate = loop.OnSignal(SIGTERM, stop);
   const event_handle on_interrupt = loop.OnSignal(SIGINT, stop);
   loop.Run();
@@ -112,6 +115,7 @@
 }  // namespace almond
 
 int main(int argc, char** argv) {
+  almond::MakeStandardStreamsNonBlocking();
   gflags::SetUsageMessage(
       "almondproxy control process: one replica of the configuration, job "
       "ledger and directory. Each flag can also be set in the environment as "
@@ -126,7 +130,6 @@
     return 1;
   }
   if (FLAGS_platform) return almond::platform::RunControl();
-  signal(SIGPIPE, SIG_IGN);
   almond::ConfigureLogging("almond-controld");
   const auto settings = almond::ReadSettings();
   return settings ? almond::Run(*settings) : 1;
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -7,7 +7,9 @@
 #include <string>
 
 #include "libalmond/core/logging.h"
+#include "libalmond/core/standard_streams.h"
 #include "libalmond/net/event_loop.h"
+#include "libalmond/processes/daemon_log.h"
 #include "libalmond/processes/entry_control.h"
 #include "libalmond/processes/entry_process.h"
 #include "platform/programs.h"
@@ -112,6 +114,7 @@
     code = EXIT_FAILURE;
     loop.Stop();
   };
+  const auto flush_log = FlushLogPeriodically(loop);
   const auto term = loop.OnSignal(SIGTERM, on_signal);
   const auto interrupt = loop.OnSignal(SIGINT, on_signal);
   loop.Run();
@@ -122,6 +125,7 @@
 }  // namespace almond
 
 int main(int argc, char** argv) {
+  almond::MakeStandardStreamsNonBlocking();
   gflags::SetUsageMessage(
       "almondproxy entry: accepts requests and dispatches their tasks");
   gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
--- a/src/libalmond/core/logging.h
+++ b/src/libalmond/core/logging.h
@@ -5,11 +5,13 @@
 
 #include <string>
 
+#include "libalmond/core/log_output.h"
+
 namespace almond {
 
-/// Configures logging to standard output. Without this call, easylogging++
-/// writes files into the working directory. Log lines are for state changes
-/// only; recurring events have counters.
+/// Sends all log lines of the process to ProcessLog. Without this call,
+/// easylogging++ writes to standard output and may block. Log lines are for
+/// state changes only; recurring events have counters.
 /// @param program name printed in each line
 void ConfigureLogging(const std::string& program);
 
@@ -17,6 +19,9 @@
 /// @param process name of this process
 void ConfigureJsonLogging(const std::string& process);
 
+/// @returns the output of all log lines of this process, to standard output
+log_output& ProcessLog();
+
 }  // namespace almond
 
 #endif  // ALMOND_CORE_LOGGING_H_
--- a/src/libalmond/processes/agent_http.cc
+++ b/src/libalmond/processes/agent_http.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "libalmond/core/logging.h"
+#include "libalmond/processes/daemon_log.h"
 #include "libalmond/processes/endpoint_codec.h"
 
 namespace almond {
@@ -41,7 +42,7 @@
   if (request.method != "GET") return MethodNotAllowed("GET");
   if (request.path == "/healthz") return Health();
   if (request.path == "/v1/config") return Config();
-  return {200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()};
+  return MetricsResponse(metrics_);
 }
 
 http_response agent_http::HandleEndpoint(const http_request& request) {
--- a/src/libalmond/processes/control_process_api.cc
+++ b/src/libalmond/processes/control_process_api.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "libalmond/processes/daemon_log.h"
+
 namespace almond {
 namespace {
 
@@ -55,7 +57,7 @@
   } else if (request.path == "/healthz") {
     respond(Health());
   } else {
-    respond({200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
+    respond(MetricsResponse(metrics_));
   }
 }
 
--- a/src/libalmond/processes/entry_process_http.cc
+++ b/src/libalmond/processes/entry_process_http.cc
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libalmond/processes/daemon_log.h"
 #include "libalmond/processes/entry_codec.h"
 #include "libalmond/processes/entry_process.h"
 
@@ -9,7 +10,7 @@
                            const http_server::responder& respond) {
   const bool is_get = request.method == "GET";
   if (is_get && request.path == "/metrics") {
-    respond({200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
+    respond(MetricsResponse(metrics_));
   } else if (is_get && request.path == "/healthz") {
     respond(Health());
   } else if (is_get && request.path == "/v1/config" && hooks_.config_report) {
--- a/src/libalmond/processes/job_entry_process.cc
+++ b/src/libalmond/processes/job_entry_process.cc
@@ -1,6 +1,7 @@
 #include "libalmond/processes/job_entry_process.h"
 
-#include <unistd.h>
+#include "libalmond/core/logging.h"
+#include "libalmond/processes/daemon_log.h"
 
 namespace almond {
 
@@ -14,8 +15,8 @@
       adapter_(std::move(adapter)),
       incarnation_(std::random_device{}()),
       random_(std::random_device{}()),
-      log_(clock, metrics_, settings_.id.Value(),
-           decision_log::MakeDescriptorSink(STDOUT_FILENO)),
+      log_(clock, settings_.id.Value(),
+           [](const std::string& line) { ProcessLog().Write(line); }),
       routes_(clock),
       endpoints_(clock, random_, settings_.data_centre),
       links_(loop, clock, metrics_,
@@ -48,13 +49,11 @@
                              const http_server::responder& respond) {
                         OnReadiness(request, respond);
                       }),
-      metrics_http_(
-          loop,
-          [this](const http_request& /*request*/,
-                 const http_server::responder& respond) {
-            respond(
-                {200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
-          }),
+      metrics_http_(loop,
+                    [this](const http_request& /*request*/,
+                           const http_server::responder& respond) {
+                      respond(MetricsResponse(metrics_));
+                    }),
       control_(loop, clock, metrics_, settings_.control, ClientHooks(),
                settings_.control_timing) {}
 
@@ -223,7 +222,6 @@
 
 void job_entry_process::Tick() {
   jobs_.Tick();
-  log_.Flush();
   if (routes_.Fresh() != was_fresh_) {
     was_fresh_ = routes_.Fresh();
     log_.Write(was_fresh_ ? "control_regained" : "control_lost",
--- a/src/libalmond/processes/run_agent_process.cc
+++ b/src/libalmond/processes/run_agent_process.cc
@@ -1,11 +1,12 @@
 #include "libalmond/processes/run_agent_process.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <random>
 #include <utility>
 
+#include "libalmond/core/logging.h"
+#include "libalmond/processes/daemon_log.h"
+
 namespace almond {
 
 run_agent_process::run_agent_process(event_loop& loop,
@@ -17,8 +18,8 @@
       settings_(std::move(settings)),
       adapter_(std::move(adapter)),
       incarnation_(std::random_device{}()),
-      log_(clock, metrics_, settings_.id.Value(),
-           decision_log::MakeDescriptorSink(STDOUT_FILENO)),
+      log_(clock, settings_.id.Value(),
+           [](const std::string& line) { ProcessLog().Write(line); }),
       links_(loop, clock, metrics_,
              {[this](link_id link) {
                 log_.Write("entry_connected", {{"link", link.Value()}});
@@ -39,13 +40,11 @@
                    const http_server::responder& respond) {
               OnRequest(request, respond);
             }),
-      metrics_http_(
-          loop,
-          [this](const http_request& /*request*/,
-                 const http_server::responder& respond) {
-            respond(
-                {200, {{"Content-Type", "text/plain"}}, metrics_.Exposition()});
-          }),
+      metrics_http_(loop,
+                    [this](const http_request& /*request*/,
+                           const http_server::responder& respond) {
+                      respond(MetricsResponse(metrics_));
+                    }),
       control_(loop, clock, metrics_, settings_.control, ClientHooks(),
                settings_.control_timing) {}
 
@@ -259,7 +258,6 @@
     endpoint->Tick();
     runs += endpoint->Runs();
   }
-  log_.Flush();
   metrics_.Gauge("almond_agent_runs").Set(static_cast<double>(runs));
   metrics_.Gauge("almond_agent_links")
       .Set(static_cast<double>(links_.Connected()));
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -14,11 +14,8 @@
 class run_controller_fixture {
  protected:
   run_controller_fixture()
-      : log_(clock_, metrics_, "agent",
-             [this](const char* bytes, std::size_t size) {
-               lines_ += std::string(bytes, size);
-               return size;
-             }),
+      : log_(clock_, "agent",
+             [this](const std::string& line) { lines_ += line + "\n"; }),
         controller_(clock_, log_, metrics_, kFirstFence, Hooks()) {
     controller_.OnAnnouncement(Announcement());
     endpoint_.AnswerRenewal();
--- a/tests/entry_jobs/load_simulation.cc
+++ b/tests/entry_jobs/load_simulation.cc
@@ -16,9 +16,7 @@
 /// Duration of a call to an endpoint, including its answer.
 constexpr std::chrono::microseconds kCallTime{400};
 
-std::size_t DiscardOutput(const char* /*bytes*/, std::size_t size) {
-  return size;
-}
+void DiscardOutput(const std::string& /*line*/) {}
 
 double Ms(duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
@@ -60,7 +58,7 @@
 struct load_simulation::entry_node {
   entry_node(std::size_t number, load_simulation& owner)
       : random(owner.random_()),
-        log(owner.clock_, metrics, "entry", DiscardOutput),
+        log(owner.clock_, "entry", DiscardOutput),
         pool(owner.clock_, random, owner.DataCentre(number)),
         jobs(owner.clock_, log, metrics, pool,
              {[number, &owner](link_id link, const entry_run_message& message) {
@@ -78,7 +76,7 @@
   using renewal_reply = std::function<void(const std::optional<lease_reply>&)>;
 
   agent_node(std::size_t number, load_simulation& owner)
-      : log(owner.clock_, metrics, "agent", DiscardOutput),
+      : log(owner.clock_, "agent", DiscardOutput),
         runs(owner.clock_, log, metrics, 1, Hooks(number, owner)) {}
 
   run_controller::hooks Hooks(std::size_t number, load_simulation& owner) {
--- a/tests/entry_jobs/parallel_job_controller_test.cc
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -11,11 +11,8 @@
 class parallel_job_fixture {
  protected:
   parallel_job_fixture()
-      : log_(clock_, metrics_, "entry",
-             [this](const char* bytes, std::size_t size) {
-               lines_ += std::string(bytes, size);
-               return size;
-             }),
+      : log_(clock_, "entry",
+             [this](const std::string& line) { lines_ += line + "\n"; }),
         pool_(clock_, random_, data_centre_id("a")),
         jobs_(clock_, log_, metrics_, pool_,
               {[this](link_id link, const entry_run_message& message) {
