replica: confirm reads where there is only one replica

Callers saw: with a single control process, a change that is sent again and a fetch of the configuration get no answer.

Cause: reads are resolved by the replies of other replicas; without any, a read that is requested after the last commit waits for ever.

Evidence: a second PUT of version 1 to a single control process hung until it was stopped. "replica host / single replica / read is confirmed" waits for a read; without the call in Broadcast nothing resolves it.

Why it works: each round of heartbeats is confirmed by a majority of one as soon as it begins. With more replicas nothing is resolved there, as their replies for the round are missing.

--- a/src/libalmond/replication/replica_leader.cc
+++ b/src/libalmond/replication/replica_leader.cc
@@ -58,6 +58,8 @@
   broadcast_due_ = false;
   next_heartbeat_ = now + kHeartbeatInterval;
   for (auto& [id, progress] : progress_) SendAppend(id, progress, true);
+  // No reply will resolve them if this replica is the only one.
+  ResolveReads();
 }
 
 void replica::SendAppend(const replica_id& to, follower_progress& progress,
--- a/tests/replication/replica_host_test.cc
+++ b/tests/replication/replica_host_test.cc
@@ -260,6 +260,18 @@
   }
 }
 
+// Guards against reads that wait for ever where there are no other replicas.
+TEST_CASE_METHOD(replica_host_fixture,
+                 "replica host / single replica / read is confirmed") {
+  settings_.replicas.resize(1);
+  REQUIRE(Start(0, true) == "");
+  REQUIRE(AwaitLeader());
+  bool confirmed = false;
+  nodes_[0].host->ConfirmRead([&confirmed](bool ok) { confirmed = ok; });
+  RunLoopFor(milliseconds(500));
+  CHECK(confirmed);
+}
+
 // Guards against a start with invalid settings or a folder of another cluster.
 TEST_CASE_METHOD(replica_host_fixture,
                  "replica host / invalid settings / error names the cause") {
