replica host: keep the process alive after a failed sync

Callers saw: a control process ends by itself (FAULT) with "control log: ... cannot sync: Input/output error; exiting". With two of three disks there is no majority, and changes wait for restarts.

Cause: each storage error but "no space" ended the process, because after a failed sync it is unknown which bytes are on the disk.

Change: one path for all failed writes. The replica keeps the output, accepts and sends nothing, and tries again. After a failed sync it writes its whole state, which is still in memory, into a new file, synced and renamed, before anything else. The folder is synced at each start. A rewritten log holds its sync marker from the start.

Why it works: nothing is sent before the state is durable in a file of which no sync has failed, so each promise holds as after a restart, without one.

--- a/src/libalmond/processes/replica_host.h
+++ b/src/libalmond/processes/replica_host.h
@@ -40,9 +40,8 @@
 };
 
 /// Runs one replica of the control log on the event loop, with connections to
-/// the other replicas and a data folder. Exits the process on a failed write or
-/// sync. On a full disk it retries instead and acknowledges nothing until the
-/// write succeeds.
+/// the other replicas and a data folder. After a failed write or sync it
+/// retries and acknowledges nothing until the write succeeds.
 class replica_host {
  public:
   /// Hooks of the replicated state machine.
--- a/src/libalmond/processes/replica_host_implementation.cc
+++ b/src/libalmond/processes/replica_host_implementation.cc
@@ -1,7 +1,6 @@
 #include "libalmond/processes/replica_host_implementation.h"
 
 #include <boost/leaf.hpp>
-#include <cstdlib>
 #include <utility>
 
 #include "libalmond/core/logging.h"
@@ -12,16 +11,9 @@
 namespace leaf = boost::leaf;
 
 constexpr milliseconds kTickPeriod{25};
-/// Number of failed writes for each line that is logged about them. Writes are
-/// retried on every tick, so this logs one line a second.
-constexpr std::uint64_t kDiskFullLogInterval = 40;
-
-[[noreturn]] void StopProcess(const std::string& reason) {
-  LOG(ERROR) << "control log: " << reason
-             << "; exiting, because writes can no longer be persisted";
-  // Skips destructors: nothing may be sent or written any more.
-  std::_Exit(EXIT_FAILURE);
-}
+/// Time between attempts to write the whole state into new files.
+constexpr milliseconds kRewritePeriod{100};
+constexpr std::chrono::seconds kFailedWriteLogPeriod{1};
 
 replica_settings MakeReplicaSettings(const replica_host_settings& settings,
                                      replica_incarnation incarnation) {
@@ -65,7 +57,7 @@
   for (const char* name :
        {"almond_log_syncs_total", "almond_log_appended_entries_total",
         "almond_log_elections_total", "almond_log_leader_changes_total",
-        "almond_log_snapshots_total"}) {
+        "almond_log_snapshots_total", "almond_log_failed_writes_total"}) {
     metrics_.Counter(name);
   }
   if (!links_.Start(AddressOf(settings_.self)->replication)) return false;
@@ -122,6 +114,7 @@
 void replica_host::implementation::Flush() {
   flush_timer_.Reset();
   if (unwritten_output_) {
+    if (clock_.SteadyNow() < next_write_) return;
     replica_output output = std::move(*unwritten_output_);
     unwritten_output_.reset();
     if (ProcessOutput(std::move(output))) {
@@ -155,22 +148,21 @@
   const steady_time start = clock_.SteadyNow();
   const bool written = leaf::try_handle_all(
       [&]() -> leaf::result<bool> {
-        BOOST_LEAF_CHECK(storage_->Write(output.records));
+        if (storage_->NeedsRewrite()) {
+          BOOST_LEAF_CHECK(storage_->Rewrite(replica_.DurableState()));
+        } else {
+          BOOST_LEAF_CHECK(storage_->Write(output.records));
+        }
         return true;
       },
       [this](const storage_error& error) {
-        if (!error.no_space) StopProcess(error.ToString());
-        // The write is retried on every tick.
-        counter& full = metrics_.Counter("almond_log_full_disk_total");
-        full.Add();
-        if (full.Value() % kDiskFullLogInterval == 1) {
-          LOG(ERROR) << "control log: " << error.ToString()
-                     << "; retrying, nothing is acknowledged until the write "
-                        "succeeds";
-        }
+        OnWriteFailed(error);
         return false;
       },
-      []() -> bool { StopProcess("unknown error of the data folder"); });
+      [this] {
+        OnWriteFailed({settings_.data_folder, 0, "unknown error"});
+        return false;
+      });
   if (!written) return false;
   metrics_.Summary("almond_log_sync_seconds").Add(clock_.SteadyNow() - start);
   metrics_.Counter("almond_log_syncs_total").Add();
@@ -181,6 +173,19 @@
   return true;
 }
 
+void replica_host::implementation::OnWriteFailed(const storage_error& error) {
+  const steady_time now = clock_.SteadyNow();
+  next_write_ = now + (storage_->NeedsRewrite() ? kRewritePeriod : kTickPeriod);
+  metrics_.Counter("almond_log_failed_writes_total").Add();
+  if (error.no_space) metrics_.Counter("almond_log_full_disk_total").Add();
+  if (failure_logged_at_ && now - *failure_logged_at_ < kFailedWriteLogPeriod) {
+    return;
+  }
+  failure_logged_at_ = now;
+  LOG(ERROR) << "control log: " << error.ToString()
+             << "; retrying, nothing is acknowledged until the write succeeds";
+}
+
 void replica_host::implementation::Apply(const replica_output& output) {
   if (output.restore) machine_.restore(output.restore->data);
   for (const committed_entry& entry : output.committed) {
--- a/src/libalmond/processes/replica_host_implementation.h
+++ b/src/libalmond/processes/replica_host_implementation.h
@@ -9,6 +9,7 @@
 #include "libalmond/processes/replica_host_links.h"
 #include "libalmond/processes/replica_host_storage.h"
 #include "libalmond/replication/replica.h"
+#include "libalmond/storage/storage_error.h"
 
 namespace almond {
 
@@ -38,11 +39,12 @@
   void ScheduleFlush();
   void Flush();
   /// Persists one output, then sends its messages and applies its entries.
-  /// Keeps the output for a retry if the disk is full.
+  /// Keeps the output for a retry if it cannot be written.
   /// @returns false if the output was kept
   bool ProcessOutput(replica_output output);
-  /// @returns false if the disk is full
+  /// @returns false if it cannot be written now
   bool Write(const replica_output& output);
+  void OnWriteFailed(const storage_error& error);
   void Apply(const replica_output& output);
   void ReportChanges();
   void ReportMembership(const replica_status& status);
@@ -57,9 +59,11 @@
   replica_host_links links_;
   event_handle tick_timer_;
   event_handle flush_timer_;
-  /// Output that waits for disk space. Until it is written, this replica sends
-  /// nothing, so that the others elect a leader without it.
+  /// Output that could not be written. Until it is, this replica sends nothing,
+  /// so that the others elect a leader without it.
   std::optional<replica_output> unwritten_output_;
+  steady_time next_write_;
+  std::optional<steady_time> failure_logged_at_;
 
   // Values that were last reported in log lines, metrics and hooks.
   bool leader_ = false;
--- a/src/libalmond/processes/replica_host_storage.cc
+++ b/src/libalmond/processes/replica_host_storage.cc
@@ -133,6 +133,9 @@
         bootstrap ? kBootstrapIncarnation.Value() : NewIncarnation();
     BOOST_LEAF_CHECK(folder.Initialise({cluster, self.Value(), incarnation}));
   }
+  // An earlier process may have ended between the renaming of a file and the
+  // sync of its folder.
+  BOOST_LEAF_CHECK(SyncFolder(path));
   BOOST_LEAF_AUTO(log, log_file::Open(folder.LogPath()));
   BOOST_LEAF_AUTO(content, ReadLog(folder.LogPath(), log.records));
   BOOST_LEAF_AUTO(snapshot, ReadSnapshot(folder.SnapshotPath()));
@@ -142,15 +145,18 @@
       std::move(folder), std::move(log.file), std::move(state)));
 }
 
-leaf::result<void> replica_host_storage::WriteSnapshot(
-    const snapshot_record& record) {
-  const replica_snapshot& snapshot = *record.snapshot;
-  BOOST_LEAF_CHECK(checksummed_file::Write(folder_.SnapshotPath(),
-                                           EncodeSnapshot(snapshot)));
-  std::vector<std::string> records = {
-      EncodeLogRecord(log_base_record{snapshot.index, snapshot.term}),
-      EncodeLogRecord(record.vote)};
-  EncodeEntries(snapshot.index + 1, record.entries, records);
+leaf::result<void> replica_host_storage::Rewrite(
+    const persistent_state& state) {
+  std::vector<std::string> records;
+  if (state.snapshot) {
+    BOOST_LEAF_CHECK(checksummed_file::Write(folder_.SnapshotPath(),
+                                             EncodeSnapshot(*state.snapshot)));
+    records.push_back(EncodeLogRecord(
+        log_base_record{state.snapshot->index, state.snapshot->term}));
+  }
+  records.push_back(EncodeLogRecord(state.vote));
+  EncodeEntries(state.snapshot ? state.snapshot->index + 1 : 1, state.entries,
+                records);
   return log_.Rewrite(records);
 }
 
@@ -159,7 +165,8 @@
   std::vector<std::string> batch;
   for (const persistent_record& record : records) {
     if (const auto* snapshot = std::get_if<snapshot_record>(&record)) {
-      BOOST_LEAF_CHECK(WriteSnapshot(*snapshot));
+      BOOST_LEAF_CHECK(
+          Rewrite({snapshot->vote, snapshot->snapshot, snapshot->entries}));
     } else if (const auto* vote = std::get_if<vote_record>(&record)) {
       batch.push_back(EncodeLogRecord(*vote));
     } else {
--- a/src/libalmond/processes/replica_host_storage.h
+++ b/src/libalmond/processes/replica_host_storage.h
@@ -29,12 +29,16 @@
     return replica_incarnation(folder_.Identity()->incarnation);
   }
   /// Writes records with one sync of the log file.
-  /// @returns success once they are durable, or storage_error. After an error
-  ///   with `no_space`, the next call must pass the same records again: part of
-  ///   them may be on disk already. After any other error the storage must not
-  ///   be used any more.
+  /// @returns success once they are durable, or storage_error. After an error,
+  ///   part of them may be on disk already. If NeedsRewrite, Rewrite must be
+  ///   called next; else the next call must pass the same records again.
   boost::leaf::result<void> Write(
       const std::vector<persistent_record>& records);
+  bool NeedsRewrite() const { return log_.NeedsRewrite(); }
+  /// Writes the whole state into new files, which replace the old ones.
+  /// @param state covers all records passed to Write
+  /// @returns success once it is durable, or storage_error
+  boost::leaf::result<void> Rewrite(const persistent_state& state);
   /// @returns the size of the log file in bytes
   std::uint64_t LogBytes() const { return log_.Size(); }
 
@@ -43,7 +47,6 @@
       : folder_(std::move(folder)),
         log_(std::move(log)),
         state_(std::move(state)) {}
-  boost::leaf::result<void> WriteSnapshot(const snapshot_record& record);
 
   data_folder folder_;
   log_file log_;
--- a/src/libalmond/replication/replica.cc
+++ b/src/libalmond/replication/replica.cc
@@ -173,6 +173,10 @@
   return result;
 }
 
+persistent_state replica::DurableState() const {
+  return {vote_, log_.Snapshot(), log_.EntriesAfter(log_.SnapshotIndex())};
+}
+
 std::size_t replica::SyncedCopies() const {
   const membership& members = log_.MembersAt(commit_index_);
   const bool synced_here =
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -91,6 +91,10 @@
   /// @returns the work that has accumulated since the last call
   replica_output TakeOutput(steady_time now);
 
+  /// @returns the state that covers all records of the outputs taken so far, to
+  ///   be written in place of them if the disk may have lost some
+  persistent_state DurableState() const;
+
   bool IsLeader() const { return role_ == replica_role::leader; }
   replica_status Status() const;
   /// @returns the leader that may be named to others: this replica while it has
--- a/src/libalmond/storage/data_folder.cc
+++ b/src/libalmond/storage/data_folder.cc
@@ -25,7 +25,11 @@
                                             const std::string& replica) {
   std::error_code failure;
   std::filesystem::create_directories(path, failure);
-  if (failure) return Error(path, "cannot create: " + failure.message());
+  if (failure) {
+    return leaf::new_error(storage_error{
+        path, 0, "cannot create: " + failure.message(),
+        IsNoSpace(failure.value()), IsTemporary(failure.value())});
+  }
   BOOST_LEAF_AUTO(lock, storage_file::Open(path + "/lock", O_RDWR | O_CREAT));
   if (!lock.TryLock()) {
     return Error(lock.Path(), "another process uses this data folder");
--- a/src/libalmond/storage/log_file.cc
+++ b/src/libalmond/storage/log_file.cc
@@ -77,21 +77,26 @@
 leaf::result<void> log_file::Append(const std::vector<std::string>& records) {
   const std::string frame = log_frame::Encode(sequence_, records);
   BOOST_LEAF_CHECK(file_.Write(size_, frame));
+  needs_rewrite_ = true;
   BOOST_LEAF_CHECK(file_.Sync());
+  needs_rewrite_ = false;
   size_ += frame.size();
   ++sequence_;
   return WriteSyncMarker();
 }
 
 leaf::result<void> log_file::Rewrite(const std::vector<std::string>& records) {
+  needs_rewrite_ = true;
   const std::string path = file_.Path();
-  const std::string frame = log_frame::Encode(kFirstSequence, records);
-  BOOST_LEAF_CHECK(ReplaceFile(path, frame));
+  std::string content = log_frame::Encode(kFirstSequence, records);
+  content += log_frame::Encode(kFirstSequence + 1, {});
+  BOOST_LEAF_CHECK(ReplaceFile(path, content));
   BOOST_LEAF_AUTO(file, storage_file::Open(path, O_RDWR));
   file_ = std::move(file);
-  size_ = frame.size();
-  sequence_ = kFirstSequence + 1;
-  return WriteSyncMarker();
+  size_ = content.size();
+  sequence_ = kFirstSequence + 2;
+  needs_rewrite_ = false;
+  return {};
 }
 
 }  // namespace almond
--- a/src/libalmond/storage/log_file.h
+++ b/src/libalmond/storage/log_file.h
@@ -26,12 +26,18 @@
   /// Creates an empty file, or truncates an existing one.
   static boost::leaf::result<void> Create(const std::string& path);
 
-  /// Appends records with one write and one sync.
+  /// Appends records with one write and one sync. Must not be called if
+  /// NeedsRewrite.
   /// @returns nothing once they are durable, or storage_error
   boost::leaf::result<void> Append(const std::vector<std::string>& records);
-  /// Replaces the whole content; used to drop the oldest records.
+  /// Replaces the whole content by a new file; used to drop the oldest records,
+  /// and after a failed sync.
   /// @returns nothing once the records are durable, or storage_error
   boost::leaf::result<void> Rewrite(const std::vector<std::string>& records);
+  /// @returns true after a failed sync or rewrite, until a Rewrite succeeds. A
+  ///   later sync of the same file says nothing about bytes that were written
+  ///   before the failed one.
+  bool NeedsRewrite() const { return needs_rewrite_; }
   std::uint64_t Size() const { return size_; }
 
  private:
@@ -42,6 +48,7 @@
   storage_file file_;
   std::uint64_t size_;
   std::uint64_t sequence_;  // sequence number of the next frame
+  bool needs_rewrite_ = false;
 };
 
 struct log_file::open_result {
--- a/src/libalmond/storage/log_frame.cc
+++ b/src/libalmond/storage/log_frame.cc
@@ -49,19 +49,27 @@
 
 std::string log_frame::Encode(std::uint64_t sequence,
                               const std::vector<std::string>& records) {
-  std::string payload;
+  std::size_t size = kHeaderBytes;
   for (const std::string& record : records) {
-    Append(payload, static_cast<std::uint32_t>(record.size()));
-    payload += record;
+    size += sizeof(std::uint32_t) + record.size();
   }
+  // One buffer, since the records of a whole log are large.
   std::string bytes;
-  bytes.reserve(kHeaderBytes + payload.size());
-  Append(bytes, kMagic);
-  Append(bytes, sequence);
-  Append(bytes, static_cast<std::uint32_t>(payload.size()));
-  Append(bytes, Crc32(payload));
-  Append(bytes, Crc32(bytes));
-  return bytes + payload;
+  bytes.reserve(size);
+  bytes.resize(kHeaderBytes);
+  for (const std::string& record : records) {
+    Append(bytes, static_cast<std::uint32_t>(record.size()));
+    bytes += record;
+  }
+  const std::string_view payload = std::string_view(bytes).substr(kHeaderBytes);
+  std::string header;
+  Append(header, kMagic);
+  Append(header, sequence);
+  Append(header, static_cast<std::uint32_t>(payload.size()));
+  Append(header, Crc32(payload));
+  Append(header, Crc32(header));
+  bytes.replace(0, kHeaderBytes, header);
+  return bytes;
 }
 
 std::optional<log_frame> log_frame::Decode(std::string_view bytes,
--- a/src/libalmond/storage/storage_file.cc
+++ b/src/libalmond/storage/storage_file.cc
@@ -48,9 +48,9 @@
                                    std::uint64_t offset) const {
   const int cause = errno;
   const std::string reason = std::generic_category().message(cause);
-  const bool no_space = cause == ENOSPC || cause == EDQUOT || cause == EFBIG;
-  return leaf::new_error(storage_error{
-      path_, offset, "cannot " + action + ": " + reason, no_space});
+  return leaf::new_error(storage_error{path_, offset,
+                                       "cannot " + action + ": " + reason,
+                                       IsNoSpace(cause), IsTemporary(cause)});
 }
 
 leaf::result<std::string> storage_file::ReadAll() const {
@@ -119,8 +119,9 @@
   std::error_code failure;
   std::filesystem::rename(temporary, path, failure);
   if (failure) {
-    return leaf::new_error(
-        storage_error{path, 0, "cannot rename: " + failure.message()});
+    return leaf::new_error(storage_error{
+        path, 0, "cannot rename: " + failure.message(),
+        IsNoSpace(failure.value()), IsTemporary(failure.value())});
   }
   return SyncFolder(std::filesystem::path(path).parent_path().string());
 }
--- a/tests/replication/replica_host_storage_test.cc
+++ b/tests/replication/replica_host_storage_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "failing_sync.h"
 #include "storage/storage_error_text.h"
 #include "storage/temporary_folder.h"
 
@@ -42,6 +43,38 @@
   replica_incarnation incarnation_;
 };
 
+// Guards against a state that is written in place of a failed batch and lacks
+// records.
+TEST_CASE_METHOD(replica_host_storage_fixture,
+                 "replica storage / sync failed / state is written anew") {
+  const persistent_state state{
+      {3, replica_id("b"), replica_incarnation(4)},
+      GENERATE(false, true) ? Snapshot(2, 2, {}).snapshot : nullptr,
+      {Entry(2, "z"), Entry(3, "w")}};
+  const std::string error = ErrorText([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(
+        storage, replica_host_storage::Open(path_, "c", replica_id("a"), true));
+    BOOST_LEAF_CHECK(storage->Write({append_record{1, {Entry(1, "x")}}}));
+    {
+      const failing_sync failing;
+      CHECK(ErrorText([&] {
+              return storage->Write({append_record{2, {Entry(1, "y")}}});
+            }) != "");
+      CHECK(storage->NeedsRewrite());
+      CHECK(ErrorText([&] { return storage->Rewrite(state); }) != "");
+      CHECK(storage->NeedsRewrite());
+    }
+    BOOST_LEAF_CHECK(storage->Rewrite(state));
+    CHECK_FALSE(storage->NeedsRewrite());
+    return {};
+  });
+  REQUIRE(error == "");
+  REQUIRE(Run({}) == "");
+  CHECK(state_.vote == state.vote);
+  CHECK(state_.entries == state.entries);
+  CHECK((state_.snapshot != nullptr) == (state.snapshot != nullptr));
+}
+
 // Guards against votes, replaced entries or entries after a snapshot that are
 // read back differently after a restart.
 TEST_CASE_METHOD(replica_host_storage_fixture,
--- a/tests/replication/replica_host_test.cc
+++ b/tests/replication/replica_host_test.cc
@@ -1,6 +1,7 @@
 #include "libalmond/processes/replica_host.h"
 
 #include <sys/resource.h>
+#include <sys/stat.h>
 
 #include <algorithm>
 #include <array>
@@ -9,6 +10,7 @@
 #include <set>
 #include <sstream>
 
+#include "failing_sync.h"
 #include "libalmond/net/peer_listener.h"
 #include "libalmond/storage/storage_error.h"
 #include "storage/temporary_folder.h"
@@ -92,6 +94,13 @@
     return folder_.File(settings_.replicas[index].id.Value());
   }
 
+  /// @returns the number that the file system has given to the log file
+  std::uint64_t LogFileNumber(int index) const {
+    struct stat status {};
+    stat((Folder(index) + "/log").c_str(), &status);
+    return status.st_ino;
+  }
+
   /// Runs the loop until the condition holds.
   /// @returns false if kLimit was reached
   bool Await(const std::function<bool()>& condition) {
@@ -204,6 +213,61 @@
   REQUIRE(AwaitEqual());
 }
 
+// Guards against a process that ends when its disk fails a sync, and against
+// the acknowledgement of a command that is not on disk.
+TEST_CASE_METHOD(replica_host_fixture,
+                 "replica host / syncs fail for a while / no commit until they "
+                 "succeed again") {
+  for (int i = 0; i < kReplicas; ++i) REQUIRE(Start(i, true) == "");
+  REQUIRE(AwaitLeader());
+  REQUIRE(CommitAll(5));
+  bool committed = false;
+  const auto on_end = [&committed](const proposal_result& result) {
+    committed = result.outcome == proposal_outcome::committed;
+  };
+  {
+    const failing_sync failing;
+    nodes_[Leader()].host->Propose("unwritten", on_end);
+    RunLoopFor(milliseconds(300));
+    CHECK_FALSE(committed);
+    RunLoopFor(milliseconds(1000));
+    CHECK(Leader() < 0);
+  }
+  REQUIRE(AwaitLeader());
+  REQUIRE(CommitAll(5));
+  REQUIRE(AwaitEqual());
+}
+
+// Guards against bytes of a failed sync that are taken for durable because a
+// later sync of the same file succeeds.
+TEST_CASE_METHOD(replica_host_fixture,
+                 "replica host / sync failed once / log is written into a new "
+                 "file") {
+  for (int i = 0; i < kReplicas; ++i) REQUIRE(Start(i, true) == "");
+  REQUIRE(AwaitLeader());
+  REQUIRE(CommitAll(5));
+  std::vector<std::uint64_t> files;
+  for (int i = 0; i < kReplicas; ++i) files.push_back(LogFileNumber(i));
+  {
+    const failing_sync failing;
+    nodes_[Leader()].host->Propose("unwritten", [](const auto&) {});
+    REQUIRE(Await([this] { return Leader() < 0; }));
+  }
+  REQUIRE(AwaitLeader());
+  REQUIRE(CommitAll(5));
+  CHECK(Await([&] {
+    std::size_t replaced = 0;
+    for (int i = 0; i < kReplicas; ++i) {
+      replaced += LogFileNumber(i) != files[i] ? 1 : 0;
+    }
+    return replaced > 0;
+  }));
+  for (int i = 0; i < kReplicas; ++i) nodes_[i].host.reset();
+  for (int i = 0; i < kReplicas; ++i) REQUIRE(Start(i, false) == "");
+  REQUIRE(AwaitLeader());
+  REQUIRE(AwaitEqual());
+}
+
 // Guards against a log that does not commit over real connections and files,
 // that syncs each of many proposals separately, or that is lost by a restart or
 // an emptied data folder.
