control process: wait for the disk at the start

Callers saw: while the syncs of its disk fail, a control process ends with code 1 at each start, until the disk works again.

Cause: an error of the data folder at the start ended the process, whatever its kind. A stored assignment that could not be read was taken for a missing one, so that the process would claim another place.

Change: storage errors say whether the same operation may succeed later.

--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -94,19 +94,29 @@
   return settings;
 }
 
-int Run(const control_settings& settings) {
+/// Runs until a signal arrives.
+/// @returns nothing, or the error if the process cannot start
+std::optional<start_error> RunOnce(const control_settings& settings) {
   event_loop loop;
   const system_clock clock;
   control_process process(loop, clock, settings);
-  if (const auto error = process.Start()) {
-    std::cerr << *error << "\n";
-    return 1;
-  }
+  if (auto error = process.Start()) return error;
   const auto stop = [&loop] { loop.Stop(); };
   const event_handle flush_log = FlushLogPeriodically(loop);
   const event_handle on_terminate = loop.OnSignal(SIGTERM, stop);
   const event_handle on_interrupt = loop.OnSignal(SIGINT, stop);
   loop.Run();
+  return std::nullopt;
+}
+
+int Run(const control_settings& settings) {
+  while (const auto error = RunOnce(settings)) {
+    if (!error->temporary) {
+      std::cerr << error->message << "\n";
+      return 1;
+    }
+    if (!AwaitNextStart(*error)) break;
+  }
   LOG(INFO) << "stopped by a signal";
   return 0;
 }
--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -33,13 +33,14 @@
         OnAccept(link);
       }) {}
 
-std::optional<std::string> control_process::Start() {
+std::optional<start_error> control_process::Start() {
   if (!http_.Listen(settings_.listen_http)) {
-    return "cannot bind --listen_http " + settings_.listen_http.ToString();
+    return start_error{"cannot bind --listen_http " +
+                       settings_.listen_http.ToString()};
   }
   if (!listener_.Listen(settings_.listen_control)) {
-    return "cannot bind --listen_control " +
-           settings_.listen_control.ToString();
+    return start_error{"cannot bind --listen_control " +
+                       settings_.listen_control.ToString()};
   }
   if (auto error = StartHost()) return error;
   tick_timer_ = loop_.Every(control_service::kTickPeriod, [this] { Tick(); });
@@ -101,22 +102,22 @@
       [this] { service_.UpdateLeadership(); }};
 }
 
-std::optional<std::string> control_process::StartHost() {
+std::optional<start_error> control_process::StartHost() {
   return boost::leaf::try_handle_all(
-      [this]() -> boost::leaf::result<std::optional<std::string>> {
+      [this]() -> boost::leaf::result<std::optional<start_error>> {
         BOOST_LEAF_AUTO(
             host, replica_host::Start(loop_, clock_, random_, metrics_,
                                       HostSettings(), StateMachineHooks()));
         host_ = std::move(host);
-        return std::optional<std::string>();
+        return std::optional<start_error>();
       },
       [](const storage_error& error) {
-        return std::optional(error.ToString());
+        return std::optional(MakeStartError(error));
       },
       [](const replica_host_error& error) {
-        return std::optional(error.message);
+        return std::optional(start_error{error.message});
       },
-      [] { return std::optional<std::string>("the replica cannot start"); });
+      [] { return std::optional(start_error{"the replica cannot start"}); });
 }
 
 std::string control_process::Apply(const std::string& command) {
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -18,6 +18,7 @@
 #include "libalmond/processes/control_process_settings.h"
 #include "libalmond/processes/replica_assignment.h"
 #include "libalmond/processes/replica_host.h"
+#include "libalmond/processes/start_retry.h"
 
 namespace almond {
 
@@ -47,7 +48,7 @@
 
   /// Opens the data folder and binds the ports.
   /// @returns nothing, or the error if it cannot start
-  std::optional<std::string> Start();
+  std::optional<start_error> Start();
 
   /// @param on_replaced called once if another process has replaced this
   ///   replica, or has its place before this one was admitted; the data folder
@@ -78,7 +79,7 @@
   control_process_api::hooks ApiHooks();
   replica_host_settings HostSettings() const;
   replica_host::state_machine StateMachineHooks();
-  std::optional<std::string> StartHost();
+  std::optional<start_error> StartHost();
   std::string Apply(const std::string& command);
   std::string LeaderId() const;
   /// @returns the addresses of the leader, or nothing if none is live
--- a/src/libalmond/processes/control_standby.cc
+++ b/src/libalmond/processes/control_standby.cc
@@ -1,10 +1,12 @@
 #include "libalmond/processes/control_standby.h"
 
+#include <boost/leaf.hpp>
 #include <utility>
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/control_process_codec.h"
 #include "libalmond/processes/operator_log.h"
+#include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
 
 namespace almond {
@@ -34,7 +36,15 @@
   if (settings_.data_dir.empty()) return hooks;
   hooks.on_claimed = on_claimed;
   hooks.on_replicas = [this](const std::vector<control_address>& replicas) {
-    SaveAssignment(settings_.data_dir, {"", replicas});
+    boost::leaf::try_handle_all(
+        [&] {
+          return SaveAssignment(settings_.data_dir, {"", replicas});
+        },
+        [](const storage_error& error) {
+          LOG(ERROR) << "cannot store the addresses of the replicas: "
+                     << error.ToString();
+        },
+        [] {});
   };
   return hooks;
 }
--- a/src/libalmond/processes/replica_assignment.cc
+++ b/src/libalmond/processes/replica_assignment.cc
@@ -122,48 +122,41 @@
   return replicas;
 }
 
-std::optional<replica_assignment> LoadAssignment(const std::string& data_dir) {
-  const auto content = leaf::try_handle_all(
+leaf::result<std::optional<replica_assignment>> LoadAssignment(
+    const std::string& data_dir) {
+  const std::optional<replica_assignment> none;
+  auto content = leaf::try_handle_some(
       [&] { return checksummed_file::Read(AssignmentPath(data_dir)); },
-      [](const storage_error& error) {
+      [](const storage_error& error)
+          -> leaf::result<std::optional<std::string>> {
+        if (error.temporary) return leaf::new_error(error);
         LOG(ERROR) << "ignoring the stored replica assignment: "
                    << error.ToString();
         return std::optional<std::string>();
-      },
-      [] { return std::optional<std::string>(); });
-  if (!content) return std::nullopt;
-  const json body = ParseJson(*content);
-  if (!body.is_object() || !body.contains("replicas")) return std::nullopt;
+      });
+  if (!content) return content.error();
+  if (!*content) return none;
+  const json body = ParseJson(**content);
+  if (!body.is_object() || !body.contains("replicas")) return none;
   replica_assignment assignment;
   assignment.id = TextField(body, "id");
   for (const json& replica : body["replicas"]) {
     const auto address = ParseAddress(replica);
-    if (!address) return std::nullopt;
+    if (!address) return none;
     assignment.replicas.push_back(*address);
   }
-  return assignment;
+  return std::optional(std::move(assignment));
 }
 
-bool SaveAssignment(const std::string& data_dir,
-                    const replica_assignment& assignment) {
+leaf::result<void> SaveAssignment(const std::string& data_dir,
+                                  const replica_assignment& assignment) {
   json body = {{"id", assignment.id}, {"replicas", json::array()}};
   for (const control_address& replica : assignment.replicas) {
     body["replicas"].push_back(ToJson(replica));
   }
   std::error_code failure;
   std::filesystem::create_directories(data_dir, failure);
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<bool> {
-        BOOST_LEAF_CHECK(
-            checksummed_file::Write(AssignmentPath(data_dir), body.dump()));
-        return true;
-      },
-      [](const storage_error& error) {
-        LOG(ERROR) << "cannot store the replica assignment: "
-                   << error.ToString();
-        return false;
-      },
-      [] { return false; });
+  return checksummed_file::Write(AssignmentPath(data_dir), body.dump());
 }
 
 assignment_finder::assignment_finder(event_loop& loop, control_address own,
--- a/src/libalmond/processes/replica_assignment.h
+++ b/src/libalmond/processes/replica_assignment.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_PROCESSES_REPLICA_ASSIGNMENT_H_
 #define ALMOND_PROCESSES_REPLICA_ASSIGNMENT_H_
 
+#include <boost/leaf/result.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -54,12 +55,14 @@
     const std::string& status);
 
 /// Reads the assignment stored in a data folder.
-/// @returns nothing if there is none or it cannot be read
-std::optional<replica_assignment> LoadAssignment(const std::string& data_dir);
+/// @returns the assignment, nothing if there is none or it is damaged, or
+///   storage_error if it cannot be read now
+boost::leaf::result<std::optional<replica_assignment>> LoadAssignment(
+    const std::string& data_dir);
 /// Stores and syncs the assignment in a data folder.
-/// @returns false if it cannot be written
-bool SaveAssignment(const std::string& data_dir,
-                    const replica_assignment& assignment);
+/// @returns nothing once it is durable, or storage_error
+boost::leaf::result<void> SaveAssignment(const std::string& data_dir,
+                                         const replica_assignment& assignment);
 
 /// Follows the leader of the control processes and claims a place in the
 /// replicated log once there is one.
--- a/tests/control/control_standby_test.cc
+++ b/tests/control/control_standby_test.cc
@@ -171,7 +171,7 @@
                  "without a place") {
   Start(folder_.File("data"));
   AwaitLeader();
-  const auto stored = LoadAssignment(folder_.File("data"));
+  const auto stored = LoadAssignment(folder_.File("data")).value();
   REQUIRE(stored);
   CHECK(stored->id.empty());
   REQUIRE(stored->replicas.size() == 2);
--- a/tests/control/replica_assignment_test.cc
+++ b/tests/control/replica_assignment_test.cc
@@ -115,14 +115,15 @@
 // although its addresses have no ids.
 TEST_CASE("replica assignment / saved in a folder / loaded") {
   const temporary_folder folder;
-  CHECK_FALSE(LoadAssignment(folder.File("data")));
-  REQUIRE(SaveAssignment(folder.File("data"),
-                         {"b", {At("10.0.0.1"), At("10.0.0.2")}}));
-  CHECK_FALSE(LoadAssignment(folder.File("data")));  // addresses have no ids
+  CHECK_FALSE(LoadAssignment(folder.File("data")).value());
+  REQUIRE(bool(SaveAssignment(folder.File("data"),
+                              {"b", {At("10.0.0.1"), At("10.0.0.2")}})));
+  CHECK_FALSE(
+      LoadAssignment(folder.File("data")).value());  // addresses have no ids
   control_address named = At("10.0.0.1");
   named.id = "b";
-  REQUIRE(SaveAssignment(folder.File("data"), {"b", {named}}));
-  const auto assignment = LoadAssignment(folder.File("data"));
+  REQUIRE(bool(SaveAssignment(folder.File("data"), {"b", {named}})));
+  const auto assignment = LoadAssignment(folder.File("data")).value();
   REQUIRE(assignment);
   CHECK(assignment->id == "b");
   CHECK(assignment->replicas.at(0) == named);
@@ -135,8 +136,8 @@
   founder.id = "a";
   replica_assignment assignment{"a", {founder}};
   AddVacantPlaces(3, assignment);
-  REQUIRE(SaveAssignment(folder.File("data"), assignment));
-  const auto loaded = LoadAssignment(folder.File("data"));
+  REQUIRE(bool(SaveAssignment(folder.File("data"), assignment)));
+  const auto loaded = LoadAssignment(folder.File("data")).value();
   REQUIRE(loaded);
   CHECK(loaded->replicas == assignment.replicas);
 }
--- a/tests/platform_programs/control_programs.cc
+++ b/tests/platform_programs/control_programs.cc
@@ -238,7 +238,7 @@
 
 bool control_programs::IsStandby(std::size_t machine) const {
   const auto stored = LoadAssignment(DataFolder(machine));
-  return stored && stored->id.empty();
+  return stored && *stored && (*stored)->id.empty();
 }
 
 bool control_programs::AwaitStandby(std::size_t machine, milliseconds limit) {
