--- a/src/libalmond/net/evhttp_messages.cc
+++ b/src/libalmond/net/evhttp_messages.cc
@@ -15,7 +15,9 @@
 void FillRequest(evhttp_request* message, const socket_address& address,
                  const http_request& request, const char* connection) {
   evkeyvalq* headers = evhttp_request_get_output_headers(message);
-  evhttp_add_header(headers, "Host", address.ToString().c_str());
+  if (HeaderValue(request.headers, "Host").empty()) {
+    evhttp_add_header(headers, "Host", address.ToString().c_str());
+  }
   evhttp_add_header(headers, "Connection", connection);
   for (const auto& [name, value] : request.headers) {
     evhttp_add_header(headers, name.c_str(), value.c_str());
