log file: accept a log whose last marker was lost with a power loss

Cause: a valid header behind a damaged place counted as proof that this place had been synced. The marker after a batch is not synced before the next batch is, so it may be missing while the next batch is present.

Change: a marker proves that all before it was synced, a batch proves it for all but the marker directly before it. A missing marker is written before the next batch, so that each synced batch is proven by what follows.

Why it works: batches are written only after the sync of the one before, so only the last batch and the marker before it can be incomplete.

--- a/src/libalmond/storage/log_file.cc
+++ b/src/libalmond/storage/log_file.cc
@@ -19,16 +19,30 @@
   std::vector<std::string> records;
   std::size_t valid_bytes = 0;
   std::uint64_t next_sequence = kFirstSequence;
+  bool ends_with_records = false;
 };
 
+/// @param offset place of a damaged frame
+/// @param sequence its sequence number
+/// @returns true if a later frame proves that it had been synced
+bool IsProvenSynced(std::string_view bytes, std::size_t offset,
+                    std::uint64_t sequence) {
+  auto found = log_frame::FindHeader(bytes, offset + 1, sequence + 1);
+  while (found) {
+    if (found->is_marker || found->sequence > sequence + 1) return true;
+    found = log_frame::FindHeader(bytes, found->offset + 1, sequence + 1);
+  }
+  return false;
+}
+
 leaf::result<scan_result> Scan(const std::string& path,
                                std::string_view bytes) {
   scan_result result;
   while (result.valid_bytes < bytes.size()) {
     const auto frame = log_frame::Decode(bytes, result.valid_bytes);
     if (!frame || frame->sequence != result.next_sequence) {
-      if (!frame && !log_frame::FindHeader(bytes, result.valid_bytes + 1,
-                                           result.next_sequence + 1)) {
+      if (!frame &&
+          !IsProvenSynced(bytes, result.valid_bytes, result.next_sequence)) {
         break;
       }
       return leaf::new_error(storage_error{
@@ -43,6 +57,7 @@
     }
     result.valid_bytes += log_frame::kHeaderBytes + frame->payload.size();
     ++result.next_sequence;
+    result.ends_with_records = !frame->payload.empty();
   }
   return result;
 }
@@ -58,7 +73,8 @@
   // An earlier process may have ended between a write and its sync; the records
   // read here must be durable before anything is acknowledged.
   BOOST_LEAF_CHECK(file.Sync());
-  log_file result(std::move(file), scan.valid_bytes, scan.next_sequence);
+  log_file result(std::move(file), scan.valid_bytes, scan.next_sequence,
+                  scan.ends_with_records);
   return open_result{std::move(result), std::move(scan.records), truncated};
 }
 
@@ -71,10 +87,12 @@
   BOOST_LEAF_CHECK(file_.Write(size_, marker));
   size_ += marker.size();
   ++sequence_;
+  marker_due_ = false;
   return {};
 }
 
 leaf::result<void> log_file::Append(const std::vector<std::string>& records) {
+  if (marker_due_) BOOST_LEAF_CHECK(WriteSyncMarker());
   const std::string frame = log_frame::Encode(sequence_, records);
   BOOST_LEAF_CHECK(file_.Write(size_, frame));
   needs_rewrite_ = true;
@@ -82,6 +100,7 @@
   needs_rewrite_ = false;
   size_ += frame.size();
   ++sequence_;
+  marker_due_ = true;
   return WriteSyncMarker();
 }
 
@@ -95,6 +114,7 @@
   file_ = std::move(file);
   size_ = content.size();
   sequence_ = kFirstSequence + 2;
+  marker_due_ = false;
   needs_rewrite_ = false;
   return {};
 }
--- a/src/libalmond/storage/log_file.h
+++ b/src/libalmond/storage/log_file.h
@@ -12,9 +12,11 @@
 
 /// A file of records to which synced batches are appended. Each batch is one
 /// frame with a sequence number and checksums. After each sync an empty frame
-/// is written as a marker. A damaged frame that is followed by a valid one had
-/// therefore been synced, which is an error; one at the end of the file can
-/// only be an incomplete write.
+/// is written as a marker, which is synced together with the next batch. A
+/// marker proves that all frames before it had been synced; a frame with
+/// records proves it for all but the marker directly before it. A damaged frame
+/// that is proven to have been synced is an error; any other can only be an
+/// incomplete write.
 class log_file {
  public:
   struct open_result;
@@ -41,13 +43,18 @@
   std::uint64_t Size() const { return size_; }
 
  private:
-  log_file(storage_file file, std::uint64_t size, std::uint64_t sequence)
-      : file_(std::move(file)), size_(size), sequence_(sequence) {}
+  log_file(storage_file file, std::uint64_t size, std::uint64_t sequence,
+           bool marker_due)
+      : file_(std::move(file)),
+        size_(size),
+        sequence_(sequence),
+        marker_due_(marker_due) {}
   boost::leaf::result<void> WriteSyncMarker();
 
   storage_file file_;
   std::uint64_t size_;
   std::uint64_t sequence_;  // sequence number of the next frame
+  bool marker_due_;         // the last frame has records
   bool needs_rewrite_ = false;
 };
 
--- a/src/libalmond/storage/log_frame.cc
+++ b/src/libalmond/storage/log_frame.cc
@@ -83,15 +83,16 @@
   return log_frame{header->sequence, payload};
 }
 
-std::optional<std::size_t> log_frame::FindHeader(std::string_view bytes,
-                                                 std::size_t offset,
-                                                 std::uint64_t sequence) {
+std::optional<log_frame::found_header> log_frame::FindHeader(
+    std::string_view bytes, std::size_t offset, std::uint64_t sequence) {
   const std::string_view magic(reinterpret_cast<const char*>(&kMagic),
                                kMagicBytes);
   for (offset = bytes.find(magic, offset); offset != std::string_view::npos;
        offset = bytes.find(magic, offset + 1)) {
     const auto header = DecodeHeader(bytes, offset);
-    if (header && header->sequence >= sequence) return offset;
+    if (header && header->sequence >= sequence) {
+      return found_header{offset, header->sequence, header->length == 0};
+    }
   }
   return std::nullopt;
 }
--- a/src/libalmond/storage/log_frame.h
+++ b/src/libalmond/storage/log_frame.h
@@ -27,11 +27,17 @@
   ///   damaged
   static std::optional<log_frame> Decode(std::string_view bytes,
                                          std::size_t offset);
-  /// @returns the offset of the first valid header at or after `offset` whose
-  ///   sequence number is at least `sequence`, or nothing
-  static std::optional<std::size_t> FindHeader(std::string_view bytes,
-                                               std::size_t offset,
-                                               std::uint64_t sequence);
+  /// A valid header; the payload behind it may be damaged.
+  struct found_header {
+    std::size_t offset = 0;
+    std::uint64_t sequence = 0;
+    bool is_marker = false;  ///< the frame has no records
+  };
+  /// @returns the first valid header at or after `offset` whose sequence number
+  ///   is at least `sequence`, or nothing
+  static std::optional<found_header> FindHeader(std::string_view bytes,
+                                                std::size_t offset,
+                                                std::uint64_t sequence);
   /// Appends the records of the payload to `records`.
   /// @returns false if their lengths do not match the payload
   bool AppendRecordsTo(std::vector<std::string>& records) const;
--- a/tests/storage/log_file_test.cc
+++ b/tests/storage/log_file_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "libalmond/storage/checksummed_file.h"
+#include "libalmond/storage/log_frame.h"
 #include "storage/storage_error_text.h"
 #include "storage/temporary_folder.h"
 
@@ -98,6 +99,62 @@
   }
 }
 
+// Guards against a log that is refused because the marker before an incomplete
+// write, which no sync had covered, was lost together with part of it.
+TEST_CASE_METHOD(log_file_fixture,
+                 "log file / power lost in a sync / synced batches remain") {
+  const std::uint64_t marker_sequence = 2 * kBatches.size();
+  const std::string last_marker = log_frame::Encode(marker_sequence, {});
+  const std::string synced =
+      bytes_.substr(0, bytes_.size() - last_marker.size());
+  const std::string unsynced = log_frame::Encode(
+      marker_sequence + 1, {"unsynced", std::string(90, 'y')});
+  // What is on the disk: all, nothing, or a part followed by zeros.
+  const auto lost = [](std::string text, std::size_t kept) {
+    std::fill(text.begin() + static_cast<std::ptrdiff_t>(kept), text.end(),
+              '\0');
+    return text;
+  };
+  const std::size_t kept_of_marker = GENERATE(0, 11, 24);
+  const std::size_t kept_of_frame = GENERATE(0, 30, 60, 1000);
+  const std::string marker = lost(last_marker, kept_of_marker);
+  const std::string frame =
+      lost(unsynced, std::min(kept_of_frame, unsynced.size()));
+  records found;
+  CHECK(Reopen(synced + marker + frame, found) == "");
+  records expected = FirstBatches(kBatches.size());
+  if (marker == last_marker && frame == unsynced) {
+    expected.insert(expected.end(), {"unsynced", std::string(90, 'y')});
+  }
+  CHECK(found == expected);
+  const std::string error = ErrorText([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(log, log_file::Open(path_));
+    return log.file.Append({"after"});
+  });
+  CHECK(error == "");
+  expected.emplace_back("after");
+  CHECK(Reopen(temporary_folder::Read(path_), found) == "");
+  CHECK(found == expected);
+}
+
+// Guards against a batch that cannot be proven to have been synced after an
+// incomplete write was dropped, so that its damage goes unnoticed.
+TEST_CASE_METHOD(log_file_fixture,
+                 "log file / appended to after a lost marker / damage of "
+                 "synced batches is an error") {
+  const std::size_t marker_size = log_frame::kHeaderBytes;
+  temporary_folder::Write(path_, bytes_.substr(0, bytes_.size() - marker_size));
+  const std::string error = ErrorText([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(log, log_file::Open(path_));
+    return log.file.Append({"after"});
+  });
+  REQUIRE(error == "");
+  std::string damaged = temporary_folder::Read(path_);
+  damaged[bytes_.size() - marker_size - 1] ^= 1;
+  records found;
+  CHECK(Reopen(damaged, found) != "");
+}
+
 // Guards against records that are appended after an incomplete write and cannot
 // be read back.
 TEST_CASE_METHOD(log_file_fixture,
