control api: name the holders of places only after a confirmed read

Cause: a leader answered GET /v1/replicas from the moment of its election, before it had committed an entry of its term and applied the log. It named the addresses of its stored list, among them that of a machine that had been replaced. The successor took this for a claim by another process.

Why it works: a confirmed read is answered once everything that was committed before is applied, claims among them, and a majority has confirmed the leader.

--- a/src/libalmond/processes/control_process_api.h
+++ b/src/libalmond/processes/control_process_api.h
@@ -48,7 +48,7 @@
                  const http_server::responder& respond);
   void GetHistory(const http_server::responder& respond);
   http_response Status() const;
-  http_response ReplicaStatus() const;
+  void GetReplicas(const http_server::responder& respond);
   http_response Health() const;
 
   control_service& service_;
--- a/tests/control/control_process_api_test.cc
+++ b/tests/control/control_process_api_test.cc
@@ -92,6 +92,26 @@
   CHECK(machine_.Config().Newest() == config_version(1));
 }
 
+// Guards against a leader that names the holders of places before it has
+// applied the log, so that a replica takes its place for lost.
+TEST_CASE_METHOD(control_process_api_fixture,
+                 "control api / replicas before the read is confirmed / no "
+                 "answer until then") {
+  api_.Handle({"GET", "/v1/replicas", "", {}, ""},
+              [this](const http_response& response) { response_ = response; });
+  RunDeferred();
+  CHECK(response_.body.empty());
+  SECTION("confirmed") {
+    Confirm(true);
+    CHECK(response_.status == 200);
+    CHECK(Body()["replicas"].size() == 1);
+  }
+  SECTION("leadership lost") {
+    Confirm(false);
+    CHECK(response_.status == 503);
+  }
+}
+
 // Guards against invalid input that changes the configuration or is refused
 // without a reason.
 TEST_CASE_METHOD(control_process_api_fixture,
