replica: keep a voter whose loss would end the majority

Cause: the leader replaced the voter of a claimed place as soon as the claimant had caught up. The entry counts from the moment it is written. With another disk lost, one live voter of the two that are needed was left: the entry could not commit, and the replaced voter no longer counted.

Evidence: "replica / place claimed while another disk is lost" fails without the new condition: no leader within 10 s, and the cluster does not settle.

Why it works: a voter is taken out only while the others are a majority without it, so the change can commit, and a leader can be elected after it.

Measured: the test passes with the condition.

--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -159,7 +159,10 @@
               steady_time now);
   void AdvanceCommit();
   void ProposeMemberChange(const replica_id& id,
-                           const follower_progress& progress);
+                           const follower_progress& progress, steady_time now);
+  /// @returns true if the voters other than this one that have answered lately
+  ///   are a quorum, this replica included
+  bool HasQuorumWithout(const replica_id& id, steady_time now) const;
   void ResolveReads();
   void EndLeadership();
   template <typename Value, typename ValueOf>
--- a/src/libalmond/replication/replica_leader.cc
+++ b/src/libalmond/replication/replica_leader.cc
@@ -118,7 +118,7 @@
   if (reply.success) {
     progress->RecordMatch(std::min(reply.index, log_.Last()));
     AdvanceCommit();
-    ProposeMemberChange(message.from, *progress);
+    ProposeMemberChange(message.from, *progress, now);
   } else {
     progress->RecordMismatch(reply.index);
   }
@@ -148,8 +148,24 @@
   ResolveReads();
 }
 
+bool replica::HasQuorumWithout(const replica_id& id, steady_time now) const {
+  const membership& members = log_.Members();
+  std::size_t live = 0;
+  for (const auto& [voter, incarnation] : members.voters) {
+    if (voter == id) continue;
+    const auto found = progress_.find(voter);
+    const bool answers =
+        found != progress_.end() &&
+        found->second.Incarnation() == incarnation &&
+        now - found->second.LastContact() < kLeaderSilenceTimeout;
+    if (voter == settings_.self || answers) ++live;
+  }
+  return live >= members.Quorum();
+}
+
 void replica::ProposeMemberChange(const replica_id& id,
-                                  const follower_progress& progress) {
+                                  const follower_progress& progress,
+                                  steady_time now) {
   const membership& members = log_.Members();
   const replica_incarnation incarnation = progress.Incarnation();
   if (members.IsVoter(id, incarnation) || members.IsRetired(id, incarnation)) {
@@ -165,6 +181,10 @@
   const auto successor = members.successors.find(id);
   const bool named =
       successor != members.successors.end() && successor->second == incarnation;
+  // A voter that is replaced loses its vote at once. Without a majority of the
+  // others the change could not be committed, and no leader be elected again,
+  // though the voter may be back.
+  if (!named && !HasQuorumWithout(id, now)) return;
   log_entry entry;
   entry.kind = named ? log_entry_kind::admit : log_entry_kind::replace;
   entry.replica = id;
--- a/tests/replication/replica_repair_test.cc
+++ b/tests/replication/replica_repair_test.cc
@@ -104,6 +104,32 @@
   CHECK(simulation_.Leader() == -1);
 }
 
+// Guards against a leader that takes the vote of a silent replica, whose disk
+// is sound, while another disk is lost, so that no majority is left.
+TEST_CASE_METHOD(replica_repair_fixture,
+                 "replica / place claimed while another disk is lost / leader "
+                 "is elected with the claimed replica") {
+  const int lost = (simulation_.Leader() + 1) % 3;
+  for (int i = 0; i < 3; ++i) simulation_.Kill(i);
+  for (int i = 0; i < 3; ++i) {
+    if (i != lost) simulation_.Start(i);
+  }
+  REQUIRE(AwaitLeader());
+  simulation_.RunUntil(milliseconds(100), [] { return false; });
+  const int silent = 3 - lost - simulation_.Leader();
+  const persistent_state sound = simulation_.Replica(silent).Disk();
+  const replica_incarnation before = simulation_.Replica(silent).Incarnation();
+  // Another process claims the place and begins to fetch the log.
+  simulation_.Replace(silent);
+  simulation_.RunUntil(milliseconds(1000), [] { return false; });
+  simulation_.Kill(silent);
+  simulation_.Replica(silent).RestoreDisk(sound, before);
+  simulation_.Start(silent);
+  simulation_.Replace(lost);
+  CHECK(AwaitLeader());
+  CheckSettles();
+}
+
 // Guards against a leader that continues without a majority, and against an
 // outcome other than "unknown" for its uncommitted proposals.
 TEST_CASE_METHOD(replica_repair_fixture,
