log file: write unproven batches again at the start

Callers saw: nothing yet; found by reading, after the failed sync.

Cause: a process that is killed after a failed sync leaves a batch that can still be read, but that the next sync passes over as clean. The start took such a batch for durable.

Change: at the start, whatever no marker proves to have been synced is written again before the sync. The findings of the linter in the changed files are mended.

Why it works: a written page is dirty again, so the sync has to write it.

--- a/src/libalmond/core/log_output.cc
+++ b/src/libalmond/core/log_output.cc
@@ -53,8 +53,8 @@
   for (;;) {
     if (buffer_.empty()) AppendNotice();
     if (buffer_.empty()) return;
-    const std::size_t size = ChunkSize();
-    const auto taken = hooks_.write(std::string_view(buffer_).substr(0, size));
+    const std::string_view waiting = buffer_;
+    const auto taken = hooks_.write(waiting.substr(0, ChunkSize()));
     if (!taken) DropTornLine();
     if (!taken || *taken == 0) return;
     torn_ = buffer_[*taken - 1] != '\n';
--- a/src/libalmond/processes/replica_assignment.cc
+++ b/src/libalmond/processes/replica_assignment.cc
@@ -124,7 +124,6 @@
 
 leaf::result<std::optional<replica_assignment>> LoadAssignment(
     const std::string& data_dir) {
-  const std::optional<replica_assignment> none;
   auto content = leaf::try_handle_some(
       [&] { return checksummed_file::Read(AssignmentPath(data_dir)); },
       [](const storage_error& error)
@@ -135,14 +134,16 @@
         return std::optional<std::string>();
       });
   if (!content) return content.error();
-  if (!*content) return none;
+  if (!*content) return std::optional<replica_assignment>();
   const json body = ParseJson(**content);
-  if (!body.is_object() || !body.contains("replicas")) return none;
+  if (!body.is_object() || !body.contains("replicas")) {
+    return std::optional<replica_assignment>();
+  }
   replica_assignment assignment;
   assignment.id = TextField(body, "id");
   for (const json& replica : body["replicas"]) {
     const auto address = ParseAddress(replica);
-    if (!address) return none;
+    if (!address) return std::optional<replica_assignment>();
     assignment.replicas.push_back(*address);
   }
   return std::optional(std::move(assignment));
--- a/src/libalmond/storage/log_file.cc
+++ b/src/libalmond/storage/log_file.cc
@@ -19,6 +19,8 @@
   std::vector<std::string> records;
   std::size_t valid_bytes = 0;
   std::uint64_t next_sequence = kFirstSequence;
+  /// Size of the part that the last marker proves to have been synced.
+  std::size_t synced_bytes = 0;
   bool ends_with_records = false;
 };
 
@@ -55,9 +57,10 @@
           storage_error{path, result.valid_bytes,
                         "the record lengths do not match the frame"});
     }
+    result.ends_with_records = !frame->payload.empty();
+    if (!result.ends_with_records) result.synced_bytes = result.valid_bytes;
     result.valid_bytes += log_frame::kHeaderBytes + frame->payload.size();
     ++result.next_sequence;
-    result.ends_with_records = !frame->payload.empty();
   }
   return result;
 }
@@ -70,8 +73,13 @@
   BOOST_LEAF_AUTO(scan, Scan(path, bytes));
   const std::uint64_t truncated = bytes.size() - scan.valid_bytes;
   if (truncated > 0) BOOST_LEAF_CHECK(file.Truncate(scan.valid_bytes));
-  // An earlier process may have ended between a write and its sync; the records
-  // read here must be durable before anything is acknowledged.
+  // An earlier process may have ended between a write and its sync, or after a
+  // failed sync; the records read here must be durable before anything is
+  // acknowledged. A sync alone leaves out what a failed one has given up.
+  BOOST_LEAF_CHECK(
+      file.Write(scan.synced_bytes,
+                 std::string_view(bytes).substr(
+                     scan.synced_bytes, scan.valid_bytes - scan.synced_bytes)));
   BOOST_LEAF_CHECK(file.Sync());
   log_file result(std::move(file), scan.valid_bytes, scan.next_sequence,
                   scan.ends_with_records);
--- a/src/libalmond/storage/log_frame.cc
+++ b/src/libalmond/storage/log_frame.cc
@@ -61,7 +61,8 @@
     Append(bytes, static_cast<std::uint32_t>(record.size()));
     bytes += record;
   }
-  const std::string_view payload = std::string_view(bytes).substr(kHeaderBytes);
+  const std::string_view all = bytes;
+  const std::string_view payload = all.substr(kHeaderBytes);
   std::string header;
   Append(header, kMagic);
   Append(header, sequence);
--- a/tests/replication/replica_host_test.cc
+++ b/tests/replication/replica_host_test.cc
@@ -247,6 +247,7 @@
   REQUIRE(AwaitLeader());
   REQUIRE(CommitAll(5));
   std::vector<std::uint64_t> files;
+  files.reserve(kReplicas);
   for (int i = 0; i < kReplicas; ++i) files.push_back(LogFileNumber(i));
   {
     const failing_sync failing;
