peer connections test: stop the poll that could end the second wait

Cause: the timer that waits for the first announcement went on while the test waited for the second connection to close. It stops the loop as long as one announcement is counted, so the wait ended early if it fired before the message of the second connection arrived; that message raises the count.

Why it is equally strict: the wait now always lasts until the connection is closed; the checks are the same.

--- a/tests/entry_process/peer_connections_test.cc
+++ b/tests/entry_process/peer_connections_test.cc
@@ -35,10 +35,11 @@
   REQUIRE(links.Listen(kAnyPort));
   raw_connection agent(loop, links.Address());
   REQUIRE(agent.Write(Bytes(EncodeAgentMessage(announce_message{}))));
-  const auto poll = loop.Every(milliseconds(1), [&] {
+  auto poll = loop.Every(milliseconds(1), [&] {
     if (announced == 1) loop.Stop();
   });
   loop.Run();
+  poll.Reset();
   raw_connection stranger(loop, links.Address());
   REQUIRE(stranger.Connected());
   // Only an announcement keeps the connection open.
