run_controller: queue of starts in a class of its own

No change of behaviour.

test_agent_runs "start queue*,run controller*": 38 cases pass; test_entry_jobs passes.

--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -19,6 +19,7 @@
       log_(log),
       hooks_(std::move(callbacks)),
       fence_(fence),
+      queue_(clock),
       starts_(metrics.Counter("almond_agent_run_starts_total")),
       refused_(metrics.Counter("almond_agent_run_refusals_total")),
       unanswered_(metrics.Counter("almond_agent_unanswered_orders_total")),
@@ -61,10 +62,9 @@
 void run_controller::Start(link_id link, const run_start& start) {
   if (const char* cause = Refusal(start)) {
     Refuse(link, start, cause);
-  } else if (queue_.empty() && Unused().Covers(start.needed)) {
+  } else if (queue_.Empty() && Unused().Covers(start.needed)) {
     SendStart(link, start);
-  } else if (queue_.size() >= kMaxQueuedStarts &&
-             start.priority >= queue_.back().start.priority) {
+  } else if (!queue_.HasPlaceFor(start)) {
     Refuse(link, start, "start queue is full");
   } else {
     Enqueue(link, start);
@@ -83,7 +83,7 @@
               {"endpoint", endpoint_.id.Value()},
               {"cause", cause},
               {"used_cpu_milli", used_.cpu_milli},
-              {"waiting_cpu_milli", queued_cpu_milli_},
+              {"waiting_cpu_milli", queue_.CpuMilli()},
               {"lease_age_ms",
                Milliseconds(clock_.SteadyNow() - last_answered_renewal_)}});
   hooks_.on_end(link, {endpoint_.id, start.key, run_end_kind::not_run});
@@ -106,45 +106,31 @@
 }
 
 void run_controller::Enqueue(link_id link, const run_start& start) {
-  queue_.push_back({link, start, clock_.SteadyNow()});
-  queued_cpu_milli_ += start.needed.cpu_milli;
-  SortQueue();
-  if (queue_.size() > kMaxQueuedStarts) {
-    const queued_start last = std::move(queue_.back());
-    queue_.pop_back();
-    queued_cpu_milli_ -= last.start.needed.cpu_milli;
-    Refuse(last.link, last.start, "overtaken");
+  if (const auto last = queue_.Add(link, start)) {
+    Refuse(last->link, last->start, "overtaken");
   }
   NotifyChange();
 }
 
-void run_controller::SortQueue() {
-  std::stable_sort(queue_.begin(), queue_.end(),
-                   [now = clock_.SteadyNow()](const queued_start& left,
-                                              const queued_start& right) {
-                     return left.Rank(now) < right.Rank(now);
-                   });
-}
-
 void run_controller::StartQueued() {
-  SortQueue();
-  while (!queue_.empty() && Accepting() &&
-         Unused().Covers(queue_.front().start.needed)) {
-    const queued_start next = std::move(queue_.front());
-    queue_.erase(queue_.begin());
-    queued_cpu_milli_ -= next.start.needed.cpu_milli;
-    SendStart(next.link, next.start);
+  while (Accepting()) {
+    const auto next = queue_.TakeNext(Unused());
+    if (!next) return;
+    SendStart(next->link, next->start);
   }
 }
 
-void run_controller::RefuseQueued(const char* cause) {
-  const std::vector<queued_start> refused = std::exchange(queue_, {});
-  queued_cpu_milli_ = 0;
-  for (const queued_start& queued : refused) {
+void run_controller::RefuseAll(const std::vector<queued_start>& starts,
+                               const char* cause) {
+  for (const queued_start& queued : starts) {
     Refuse(queued.link, queued.start, cause);
   }
 }
 
+void run_controller::RefuseQueued(const char* cause) {
+  RefuseAll(queue_.TakeAll(), cause);
+}
+
 resources run_controller::Unused() const {
   resources unused = endpoint_.total;
   unused -= used_;
@@ -160,10 +146,7 @@
   }
   if (start.service != endpoint_.service) return "service mismatch";
   if (runs_.contains(start.key)) return "known run";
-  const bool is_queued = std::any_of(
-      queue_.begin(), queue_.end(),
-      [&start](const auto& queued) { return queued.start.key == start.key; });
-  if (is_queued) return "known run";
+  if (queue_.Contains(start.key)) return "known run";
   return endpoint_.total.Covers(start.needed)
              ? nullptr
              : "exceeds the total resources of the endpoint";
@@ -200,12 +183,7 @@
 }
 
 void run_controller::Stop(link_id link, const run_key& key) {
-  const auto removed = std::erase_if(queue_, [&](const auto& queued) {
-    if (queued.start.key != key) return false;
-    queued_cpu_milli_ -= queued.start.needed.cpu_milli;
-    return true;
-  });
-  if (removed > 0) NotifyChange();
+  if (queue_.Remove(key, std::nullopt)) NotifyChange();
   const auto found = runs_.find(key);
   if (found == runs_.end()) {
     hooks_.on_end(link, {endpoint_.id, key, run_end_kind::stopped});
@@ -215,22 +193,13 @@
 }
 
 void run_controller::Withdraw(link_id link, const run_key& key) {
-  const auto removed = std::erase_if(queue_, [&](const auto& queued) {
-    if (queued.start.key != key || queued.link != link) return false;
-    queued_cpu_milli_ -= queued.start.needed.cpu_milli;
-    return true;
-  });
-  if (removed == 0) return;
+  if (!queue_.Remove(key, link)) return;
   hooks_.on_end(link, {endpoint_.id, key, run_end_kind::not_run});
   NotifyChange();
 }
 
 void run_controller::OnLinkClosed(link_id link) {
-  std::erase_if(queue_, [&](const auto& queued) {
-    if (queued.link != link) return false;
-    queued_cpu_milli_ -= queued.start.needed.cpu_milli;
-    return true;
-  });
+  queue_.RemoveLink(link);
   std::vector<run_key> keys;
   for (const auto& [key, run] : runs_) {
     if (run.link == link) keys.push_back(key);
@@ -275,16 +244,8 @@
       now >= LeaseExpiry()) {
     LoseAllRuns("lease expired without an answer from the endpoint");
   }
-  std::vector<queued_start> timed_out;
-  std::erase_if(queue_, [&](const queued_start& queued) {
-    if (now - queued.arrived < kMaxQueueTime) return false;
-    queued_cpu_milli_ -= queued.start.needed.cpu_milli;
-    timed_out.push_back(queued);
-    return true;
-  });
-  for (const queued_start& queued : timed_out) {
-    Refuse(queued.link, queued.start, "no resources became free in time");
-  }
+  const std::vector<queued_start> timed_out = queue_.TakeTimedOut();
+  RefuseAll(timed_out, "no resources became free in time");
   if (!timed_out.empty()) NotifyChange();
   // A replaced connection pool never reports the result of its last renewal.
   if (renewal_in_flight_ && now - renewal_sent_ >= kRenewalTimeout) {
@@ -541,12 +502,9 @@
   state.data_centre = endpoint_.data_centre;
   state.total = endpoint_.total;
   state.unused = Unused();
-  state.unused.cpu_milli -= queued_cpu_milli_;
-  state.waiting = static_cast<std::uint32_t>(queue_.size());
-  for (const queued_start& queued : queue_) {
-    state.waiting_priority =
-        std::max(state.waiting_priority, queued.start.priority);
-  }
+  state.unused.cpu_milli -= queue_.CpuMilli();
+  state.waiting = static_cast<std::uint32_t>(queue_.Size());
+  state.waiting_priority = queue_.LowestPriority();
   state.accepting = Accepting();
   state.timestamp = agent_timestamp(static_cast<std::uint64_t>(
       Milliseconds(clock_.SteadyNow().time_since_epoch())));
@@ -554,11 +512,9 @@
 }
 
 bool run_controller::HasRuns(link_id link) const {
-  return std::any_of(
-             runs_.begin(), runs_.end(),
-             [link](const auto& entry) { return entry.second.link == link; }) ||
-         std::any_of(queue_.begin(), queue_.end(), [link](const auto& queued) {
-           return queued.link == link;
+  return queue_.HasLink(link) ||
+         std::any_of(runs_.begin(), runs_.end(), [link](const auto& entry) {
+           return entry.second.link == link;
          });
 }
 
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -7,11 +7,11 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "libalmond/controllers/agent/run_progress.h"
+#include "libalmond/controllers/agent/start_queue.h"
 #include "libalmond/core/clock.h"
 #include "libalmond/core/decision_log.h"
 #include "libalmond/core/metrics.h"
@@ -108,14 +108,6 @@
   static constexpr milliseconds kTickPeriod{20};
   /// Time after which a renewal without any result is given up.
   static constexpr milliseconds kRenewalTimeout{1000};
-  /// Longest time that a start is queued for free resources before it is
-  /// refused. Its entry withdraws it earlier if it finds a better endpoint.
-  static constexpr milliseconds kMaxQueueTime{150};
-  /// Longest queue of starts. One queued start keeps the resources in use while
-  /// the entries learn that a run has ended. Each further one is bound to this
-  /// endpoint until another run ends, and may miss its objective meanwhile. The
-  /// second place allows for two entries that send a start at the same time.
-  static constexpr std::size_t kMaxQueuedStarts = 2;
   /// Time after which an unacknowledged stop is sent again.
   static constexpr milliseconds kStopRetryPeriod{20};
   /// Added to a fencing token that an endpoint refused. Tokens start at the
@@ -199,21 +191,6 @@
     std::optional<steady_time> stop_acknowledged = {};
   };
 
-  /// A start that is queued for free resources.
-  struct queued_start {
-    link_id link;
-    run_start start;
-    steady_time arrived;
-    /// Sort key of the queue: by priority, then starts of jobs that have other
-    /// runs started, then starts that can still meet their objective, then the
-    /// others; within each group by the latest start time.
-    auto Rank(steady_time now) const {
-      const steady_time latest_start = arrived + start.slack;
-      return std::tuple(start.priority, !start.job_started,
-                        !start.job_started && latest_start < now, latest_start);
-    }
-  };
-
   /// A renewal whose answer is expected.
   struct sent_renewal {
     steady_time at;
@@ -225,8 +202,8 @@
   void Refuse(link_id link, const run_start& start, const char* cause);
   void SendStart(link_id link, const run_start& start);
   void Enqueue(link_id link, const run_start& start);
-  void SortQueue();
   void StartQueued();
+  void RefuseAll(const std::vector<queued_start>& starts, const char* cause);
   void RefuseQueued(const char* cause);
   resources Unused() const;
   void OnStartReply(const run_key& key, start_reply reply);
@@ -289,8 +266,7 @@
   std::optional<steady_time> restart_detected_;
   resources used_;
   std::map<run_key, active_run> runs_;
-  std::vector<queued_start> queue_;
-  std::int64_t queued_cpu_milli_ = 0;
+  start_queue queue_;
   std::set<run_key> stopping_foreign_;
   counter& starts_;
   counter& refused_;
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -80,7 +80,7 @@
   controller_.Start(kOtherEntry, MakeStart(1, 2000));
   CHECK(endpoint_.starts.size() == 1);
   CHECK(UnusedCpu() == -1000);
-  AdvanceTime(run_controller::kMaxQueueTime - run_controller::kTickPeriod);
+  AdvanceTime(start_queue::kMaxQueueTime - run_controller::kTickPeriod);
   CHECK(ends_.empty());
   AdvanceTime(run_controller::kTickPeriod);
   CHECK(endpoint_.starts.size() == 1);
@@ -118,7 +118,7 @@
   controller_.Start(kEntry, MakeStart(0, 4000));
   controller_.Start(kEntry, MakeStart(1, 400));
   controller_.Start(kOtherEntry, MakeStart(2, 400));
-  CHECK(controller_.State().waiting == run_controller::kMaxQueuedStarts);
+  CHECK(controller_.State().waiting == start_queue::kMaxQueuedStarts);
   controller_.Start(kEntry, MakeStart(3, 400));
   REQUIRE(ends_.size() == 1);
   CHECK(ends_[0].second.key == MakeStart(3).key);
