--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -47,13 +47,14 @@
       hooks_(std::move(callbacks)),
       started_at_(clock.SteadyNow()),
       admission_(clock),
+      placer_(clock, log, metrics, endpoints,
+              {hooks_.send, [this](const job_id& id) { return FindJob(id); }}),
       complete_(metrics.Counter("almond_jobs_total", "outcome=\"complete\"")),
       failed_(metrics.Counter("almond_jobs_total", "outcome=\"failed\"")),
       refused_(metrics.Counter("almond_jobs_total", "outcome=\"refused\"")),
       timed_out_(metrics.Counter("almond_jobs_total", "outcome=\"timed-out\"")),
       callers_left_(
           metrics.Counter("almond_jobs_total", "outcome=\"caller-left\"")),
-      runs_placed_(metrics.Counter("almond_runs_placed_total")),
       runs_retried_(metrics.Counter("almond_runs_again_total")),
       job_seconds_(metrics.Summary("almond_job_seconds")),
       wait_seconds_(metrics.Summary("almond_job_wait_seconds")) {}
@@ -63,7 +64,7 @@
                                           answer_hook on_answer) {
   last_caller_ = last_caller_.Next();
   const caller_id caller = last_caller_;
-  if (job* known = FindJob(request.id)) {
+  if (parallel_job* known = FindJob(request.id)) {
     known->callers[caller] = std::move(on_answer);
     known->deadline =
         std::max(known->deadline, clock_.SteadyNow() + request.timeout);
@@ -93,7 +94,7 @@
     on_answer(*refused);
     return;
   }
-  auto current = std::make_unique<job>();
+  auto current = std::make_unique<parallel_job>();
   current->request = request;
   current->service = rule.service;
   current->route_name = rule.name;
@@ -108,7 +109,7 @@
   current->start_deadline = now + std::chrono::duration_cast<duration>(
                                       objective * kMaxStartDelayRatio);
   for (const job_step& plan : request.steps) {
-    step& added = current->steps.emplace_back();
+    parallel_step& added = current->steps.emplace_back();
     added.plan = plan;
     added.tasks.resize(plan.count);
     added.open = plan.count;
@@ -124,7 +125,7 @@
                               {"estimate_ms", critical_path.count()},
                               {"timeout_ms", request.timeout.count()},
                               {"queued", queue_.size()}});
-  job& added = *(jobs_[request.id] = std::move(current));
+  parallel_job& added = *(jobs_[request.id] = std::move(current));
   ReleaseSteps(added);
   Dispatch();
 }
@@ -148,7 +149,7 @@
 }
 
 void parallel_job_controller::RemoveCaller(const job_id& id, caller_id caller) {
-  job* current = FindJob(id);
+  parallel_job* current = FindJob(id);
   if (current == nullptr || current->callers.erase(caller) == 0) return;
   if (!current->callers.empty()) return;
   callers_left_.Add();
@@ -164,17 +165,17 @@
                                               const endpoint_state& state) {
   endpoints_.Update(link, state);
   Dispatch();
-  WithdrawForFreeResources();
+  placer_.WithdrawForFreeResources();
 }
 
 void parallel_job_controller::OnRunEnd(link_id link, const run_end& end) {
   const endpoint_key place{link, end.endpoint};
   endpoints_.OnRunEnd(place, end);
-  job* current = FindJob(end.key.job);
+  parallel_job* current = FindJob(end.key.job);
   if (current == nullptr || end.key.step >= current->steps.size()) return;
-  step& current_step = current->steps[end.key.step];
+  parallel_step& current_step = current->steps[end.key.step];
   if (end.key.index >= current_step.tasks.size()) return;
-  const task& ended = current_step.tasks[end.key.index];
+  const parallel_task& ended = current_step.tasks[end.key.index];
   // Ignores the end of an earlier run, or of another attempt of this job.
   if (ended.phase != task_phase::placed || ended.run != end.key.run ||
       ended.place != place) {
@@ -197,7 +198,7 @@
       // not answered.
       current_step.tasks[end.key.index].failed_at.push_back(end.endpoint);
       endpoints_.RecordFault(place);
-      LogRun("run_retried", place, end.key,
+      LogRun(log_, "run_retried", place, end.key,
              {{"kind", static_cast<int>(end.kind)}});
       RetryRun(*current, end.key);
       break;
@@ -205,7 +206,7 @@
       --current->possible_runs;
       [[fallthrough]];
     case run_end_kind::lost:
-      LogRun("run_retried", place, end.key,
+      LogRun(log_, "run_retried", place, end.key,
              {{"kind", static_cast<int>(end.kind)}});
       RetryRun(*current, end.key);
       break;
@@ -217,8 +218,8 @@
   endpoints_.RemoveLink(link);
   const steady_time end = clock_.SteadyNow() + kInDoubtPeriod;
   for (auto& [id, current] : jobs_) {
-    for (step& current_step : current->steps) {
-      for (task& lost : current_step.tasks) {
+    for (parallel_step& current_step : current->steps) {
+      for (parallel_task& lost : current_step.tasks) {
         if (lost.phase != task_phase::placed || lost.place.link != link) {
           continue;
         }
@@ -246,7 +247,7 @@
       continue;
     }
     for (std::uint32_t s = 0; s < current->steps.size(); ++s) {
-      step& current_step = current->steps[s];
+      parallel_step& current_step = current->steps[s];
       for (std::uint32_t i = 0; i < current_step.tasks.size(); ++i) {
         if (current_step.tasks[i].phase == task_phase::in_doubt &&
             current_step.tasks[i].in_doubt_until <= now) {
@@ -263,38 +264,21 @@
   Dispatch();
 }
 
-bool parallel_job_controller::RefusesLateStart(job& current, steady_time now) {
+bool parallel_job_controller::RefusesLateStart(parallel_job& current,
+                                               steady_time now) {
   if (current.started) return false;
   const bool too_late =
       now + current.steps.front().plan.estimate > current.deadline;
   if (!too_late && now < current.start_deadline) return false;
   current.refusing = true;
   if (current.possible_runs == 0) return true;
-  for (std::uint32_t s = 0; s < current.steps.size(); ++s) {
-    for (std::uint32_t i = 0; i < current.steps[s].tasks.size(); ++i) {
-      const task& ordered = current.steps[s].tasks[i];
-      if (ordered.phase == task_phase::placed && ordered.waits_at_agent &&
-          !ordered.withdrawal_sent) {
-        Withdraw(current, s, i);
-      }
-    }
-  }
+  placer_.WithdrawWaiting(current);
   return false;
 }
 
-void parallel_job_controller::Withdraw(job& current, std::uint32_t step_number,
-                                       std::uint32_t index) {
-  task& ordered = current.steps[step_number].tasks[index];
-  ordered.withdrawal_sent = true;
-  hooks_.send(
-      ordered.place.link,
-      run_withdraw{ordered.place.endpoint,
-                   {current.request.id, 0, step_number, index, ordered.run}});
-}
-
 void parallel_job_controller::InterruptAll() {
   while (!jobs_.empty()) {
-    const job& current = *jobs_.begin()->second;
+    const parallel_job& current = *jobs_.begin()->second;
     const job_answer answer =
         current.possible_runs > 0
             ? job_answer{job_outcome::interrupted, refusal_reason::draining,
@@ -305,9 +289,9 @@
   }
 }
 
-void parallel_job_controller::ReleaseSteps(job& current) {
+void parallel_job_controller::ReleaseSteps(parallel_job& current) {
   for (std::uint32_t s = 0; s < current.steps.size(); ++s) {
-    step& next = current.steps[s];
+    parallel_step& next = current.steps[s];
     const bool ready = std::all_of(next.plan.dependencies.begin(),
                                    next.plan.dependencies.end(),
                                    [&current](std::uint32_t earlier) {
@@ -320,23 +304,24 @@
   }
 }
 
-void parallel_job_controller::Enqueue(job& current, std::uint32_t step_number,
+void parallel_job_controller::Enqueue(parallel_job& current,
+                                      std::uint32_t step_number,
                                       std::uint32_t index) {
-  step& current_step = current.steps[step_number];
+  parallel_step& current_step = current.steps[step_number];
   current_step.tasks[index].phase = task_phase::waiting;
   queue_.Add({current.request.id, step_number, index},
              Urgency(current, current_step));
   queued_cpu_time_[current.service] += CpuTime(current_step.plan);
 }
 
-run_urgency parallel_job_controller::Urgency(const job& current,
-                                             const step& current_step) {
+run_urgency parallel_job_controller::Urgency(
+    const parallel_job& current, const parallel_step& current_step) {
   return {current_step.latest_start, current.priority, current.started};
 }
 
-void parallel_job_controller::Dequeue(job& current) {
+void parallel_job_controller::Dequeue(parallel_job& current) {
   for (std::uint32_t s = 0; s < current.steps.size(); ++s) {
-    step& current_step = current.steps[s];
+    parallel_step& current_step = current.steps[s];
     for (std::uint32_t i = 0; i < current_step.tasks.size(); ++i) {
       if (current_step.tasks[i].phase != task_phase::waiting) continue;
       queue_.Remove({current.request.id, s, i}, Urgency(current, current_step));
@@ -345,7 +330,7 @@
   }
 }
 
-void parallel_job_controller::MarkStarted(job& current) {
+void parallel_job_controller::MarkStarted(parallel_job& current) {
   if (current.started) return;
   current.refusing = false;
   wait_seconds_.Add(clock_.SteadyNow() - current.arrived);
@@ -366,110 +351,31 @@
   if (dispatching_ || queue_.size() == 0) return;
   dispatching_ = true;
   std::vector<job_id> started_jobs;
-  std::map<service_id, std::int64_t> unplaceable_cpu;
+  unplaceable_sizes unplaceable;
   queue_.OfferInOrder(clock_.SteadyNow(), [&](const waiting_task& waiting) {
-    if (!TryPlace(waiting, unplaceable_cpu)) return false;
-    const job& placed = *FindJob(waiting.job);
-    const bool waits_at_agent =
-        placed.steps[waiting.step].tasks[waiting.index].waits_at_agent;
-    if (!placed.started && !waits_at_agent) started_jobs.push_back(waiting.job);
+    parallel_job& current = *FindJob(waiting.job);
+    if (!placer_.TryPlace(current, waiting, unplaceable)) return false;
+    const parallel_step& current_step = current.steps[waiting.step];
+    queued_cpu_time_[current.service] -= CpuTime(current_step.plan);
+    admission_.RecordPlacement(CpuTime(current_step.plan));
+    if (!current.started && !current_step.tasks[waiting.index].waits_at_agent) {
+      started_jobs.push_back(waiting.job);
+    }
     return true;
   });
   for (const job_id& id : started_jobs) MarkStarted(*FindJob(id));
   dispatching_ = false;
 }
 
-void parallel_job_controller::WithdrawForFreeResources() {
-  // Uses resources that remain free after all queued tasks were offered them.
-  std::map<service_id, std::int64_t> unplaceable_cpu;
-  for (auto position = waiting_orders_.begin();
-       position != waiting_orders_.end();) {
-    const waiting_task waiting = *position;
-    job* current = FindJob(waiting.job);
-    task* ordered = current == nullptr
-                        ? nullptr
-                        : &current->steps[waiting.step].tasks[waiting.index];
-    if (ordered == nullptr || ordered->phase != task_phase::placed ||
-        !ordered->waits_at_agent || ordered->withdrawal_sent) {
-      position = waiting_orders_.erase(position);
-      continue;
-    }
-    ++position;
-    const job_step& plan = current->steps[waiting.step].plan;
-    const auto limit = unplaceable_cpu.find(current->service);
-    if (limit != unplaceable_cpu.end() &&
-        plan.needed.cpu_milli >= limit->second) {
-      continue;
-    }
-    const auto better =
-        endpoints_.ChooseEndpoint({current->service, plan.needed, plan.estimate,
-                                   current->priority, ordered->failed_at});
-    // One withdrawal per service and pass, as each would choose the same
-    // resources.
-    unplaceable_cpu[current->service] = better ? 0 : plan.needed.cpu_milli;
-    if (!better) continue;
-    Withdraw(*current, waiting.step, waiting.index);
-  }
-}
-
-bool parallel_job_controller::TryPlace(
-    const waiting_task& waiting,
-    std::map<service_id, std::int64_t>& unplaceable_cpu) {
-  job& current = *FindJob(waiting.job);
-  step& current_step = current.steps[waiting.step];
-  if (current.refusing) return false;
-  const auto limit = unplaceable_cpu.find(current.service);
-  if (limit != unplaceable_cpu.end() &&
-      current_step.plan.needed.cpu_milli >= limit->second) {
-    return false;
-  }
-  task& placed = current_step.tasks[waiting.index];
-  const placement_request request{current.service, current_step.plan.needed,
-                                  current_step.plan.estimate, current.priority,
-                                  placed.failed_at};
-  auto place = endpoints_.ChooseEndpoint(request);
-  placed.waits_at_agent = !place;
-  placed.withdrawal_sent = false;
-  if (!place) place = endpoints_.ChooseWaitingPlace(request);
-  if (!place) {
-    unplaceable_cpu[current.service] = current_step.plan.needed.cpu_milli;
-    return false;
-  }
-  if (placed.waits_at_agent) waiting_orders_.insert(waiting);
-  placed.phase = task_phase::placed;
-  placed.place = *place;
-  ++placed.run;
-  ++current.possible_runs;
-  queued_cpu_time_[current.service] -= CpuTime(current_step.plan);
-  admission_.RecordPlacement(CpuTime(current_step.plan));
-  runs_placed_.Add();
-  run_start start;
-  start.endpoint = place->endpoint;
-  start.key = {waiting.job, 0, waiting.step, waiting.index, placed.run};
-  start.service = current.service;
-  start.spec = current.request.spec;
-  start.needed = current_step.plan.needed;
-  start.estimate = current_step.plan.estimate;
-  start.slack = std::chrono::duration_cast<milliseconds>(
-      current_step.latest_start - clock_.SteadyNow());
-  start.job_started = current.started;
-  start.priority = current.priority;
-  std::tie(start.order, start.newest_timestamp) = endpoints_.RecordPlacement(
-      *place, start.key, current_step.plan.needed, current_step.plan.estimate);
-  LogRun(
-      "run_placed", *place, start.key,
-      {{"wait_ms", CountMilliseconds(clock_.SteadyNow() - current.arrived)}});
-  hooks_.send(place->link, start);
-  return true;
-}
-
-void parallel_job_controller::RetryRun(job& current, const run_key& key) {
+void parallel_job_controller::RetryRun(parallel_job& current,
+                                       const run_key& key) {
   runs_retried_.Add();
   Enqueue(current, key.step, key.index);
 }
 
-void parallel_job_controller::OnTaskDone(job& current, const run_key& key) {
-  step& current_step = current.steps[key.step];
+void parallel_job_controller::OnTaskDone(parallel_job& current,
+                                         const run_key& key) {
+  parallel_step& current_step = current.steps[key.step];
   current_step.tasks[key.index].phase = task_phase::done;
   MarkStarted(current);
   if (--current_step.open > 0) return;
@@ -483,9 +389,10 @@
       {job_outcome::complete, refusal_reason::task_failed, std::nullopt});
 }
 
-void parallel_job_controller::OnTaskFailed(job& current, const run_key& key,
+void parallel_job_controller::OnTaskFailed(parallel_job& current,
+                                           const run_key& key,
                                            const endpoint_id& endpoint) {
-  task& failed = current.steps[key.step].tasks[key.index];
+  parallel_task& failed = current.steps[key.step].tasks[key.index];
   failed.failed_at.push_back(endpoint);
   log_.Write("run_failed", {{"job", key.job.Value()},
                             {"step", key.step},
@@ -504,7 +411,8 @@
       {job_outcome::failed, refusal_reason::task_failed, std::nullopt});
 }
 
-job_answer parallel_job_controller::TimeoutAnswer(const job& current) const {
+job_answer parallel_job_controller::TimeoutAnswer(
+    const parallel_job& current) const {
   if (current.possible_runs > 0) {
     return {job_outcome::timed_out, refusal_reason::deadline_running,
             std::nullopt};
@@ -516,12 +424,12 @@
 void parallel_job_controller::End(const job_id& id, const job_answer& answer) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
-  const std::unique_ptr<job> current = std::move(found->second);
+  const std::unique_ptr<parallel_job> current = std::move(found->second);
   Dequeue(*current);
   jobs_.erase(found);
   for (std::uint32_t s = 0; s < current->steps.size(); ++s) {
     for (std::uint32_t i = 0; i < current->steps[s].tasks.size(); ++i) {
-      const task& open = current->steps[s].tasks[i];
+      const parallel_task& open = current->steps[s].tasks[i];
       if (open.phase != task_phase::placed) continue;
       hooks_.send(open.place.link,
                   run_stop{open.place.endpoint, {id, 0, s, i, open.run}});
@@ -540,21 +448,7 @@
   for (const auto& [caller, on_answer] : current->callers) on_answer(answer);
 }
 
-void parallel_job_controller::LogRun(const char* event,
-                                     const endpoint_key& place,
-                                     const run_key& key,
-                                     const nlohmann::json& more) {
-  nlohmann::json fields = more;
-  fields["job"] = key.job.Value();
-  fields["step"] = key.step;
-  fields["index"] = key.index;
-  fields["run"] = key.run;
-  fields["endpoint"] = place.endpoint.Value();
-  log_.Write(event, fields);
-}
-
-parallel_job_controller::job* parallel_job_controller::FindJob(
-    const job_id& id) {
+parallel_job* parallel_job_controller::FindJob(const job_id& id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
 }
--- a/src/libalmond/controllers/entry/parallel_job_controller.h
+++ b/src/libalmond/controllers/entry/parallel_job_controller.h
@@ -6,14 +6,15 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
 #include "libalmond/config/route_config.h"
 #include "libalmond/controllers/entry/endpoint_pool.h"
 #include "libalmond/controllers/entry/job_admission.h"
+#include "libalmond/controllers/entry/parallel_job.h"
 #include "libalmond/controllers/entry/run_queue.h"
+#include "libalmond/controllers/entry/task_placer.h"
 #include "libalmond/core/clock.h"
 #include "libalmond/core/decision_log.h"
 #include "libalmond/core/job_messages.h"
@@ -22,9 +23,6 @@
 
 namespace almond {
 
-/// Identifies one caller that waits for a job.
-using caller_id = typed_number<struct caller_tag>;
-
 /// Owns the parallel jobs in progress at an entry: admits them, places their
 /// tasks at endpoints, restarts runs and answers the callers.
 class parallel_job_controller {
@@ -53,7 +51,7 @@
   struct hooks {
     std::function<void(link_id, const entry_run_message&)> send;
   };
-  using answer_hook = std::function<void(const job_answer&)>;
+  using answer_hook = parallel_job::answer_hook;
 
   /// All references must outlive the controller.
   parallel_job_controller(const clock_interface& clock, decision_log& log,
@@ -84,78 +82,28 @@
   std::size_t Queued() const { return queue_.size(); }
 
  private:
-  enum class task_phase : std::uint8_t {
-    blocked,   ///< waits for the steps it depends on
-    waiting,   ///< in the queue
-    placed,    ///< start sent to an agent
-    in_doubt,  ///< link to its agent lost; may still run
-    done
-  };
-  struct task {
-    task_phase phase = task_phase::blocked;
-    std::uint32_t run = 0;
-    std::uint32_t failures = 0;
-    endpoint_key place;
-    bool waits_at_agent = false;  ///< sent without free resources
-    bool withdrawal_sent = false;
-    steady_time in_doubt_until;
-    std::vector<endpoint_id> failed_at;
-  };
-  struct step {
-    job_step plan;
-    std::vector<task> tasks;
-    std::uint32_t open = 0;  ///< tasks that are not done
-    steady_time latest_start;
-  };
-  struct job {
-    job_request request;
-    service_id service;
-    std::string route_name;
-    std::uint32_t max_attempts = 1;
-    std::uint32_t priority = 0;
-    std::uint32_t open_steps = 0;
-    steady_time arrived;
-    steady_time deadline;
-    /// Number of ordered runs that were neither reported as not run nor refused
-    /// as superseded. While it is 0, no task of the job has run.
-    std::uint32_t possible_runs = 0;
-    /// A task was placed on free resources or is done.
-    bool started = false;
-    steady_time start_deadline;  ///< see kMaxStartDelayRatio
-    /// The job is to be refused: no more tasks are placed, and the job ends
-    /// once `possible_runs` is 0. Reset if a task is done before.
-    bool refusing = false;
-    std::vector<step> steps;
-    std::map<caller_id, answer_hook> callers;
-  };
-
   void Admit(const route& rule, const job_request& request, caller_id caller,
              answer_hook on_answer);
   std::optional<job_answer> CheckAdmission(const route& rule,
                                            const job_request& request,
                                            milliseconds critical_path);
-  void ReleaseSteps(job& current);
-  void Enqueue(job& current, std::uint32_t step_number, std::uint32_t index);
-  void Dequeue(job& current);
-  static run_urgency Urgency(const job& current, const step& current_step);
-  void MarkStarted(job& current);
+  void ReleaseSteps(parallel_job& current);
+  void Enqueue(parallel_job& current, std::uint32_t step_number,
+               std::uint32_t index);
+  void Dequeue(parallel_job& current);
+  static run_urgency Urgency(const parallel_job& current,
+                             const parallel_step& current_step);
+  void MarkStarted(parallel_job& current);
   void Dispatch();
-  void WithdrawForFreeResources();
-  /// @param unplaceable_cpu per service, the smallest CPU need found not to fit
-  bool TryPlace(const waiting_task& waiting,
-                std::map<service_id, std::int64_t>& unplaceable_cpu);
-  void RetryRun(job& current, const run_key& key);
-  void OnTaskDone(job& current, const run_key& key);
-  void OnTaskFailed(job& current, const run_key& key,
+  void RetryRun(parallel_job& current, const run_key& key);
+  void OnTaskDone(parallel_job& current, const run_key& key);
+  void OnTaskFailed(parallel_job& current, const run_key& key,
                     const endpoint_id& endpoint);
   /// @returns true if the job is to be refused now
-  bool RefusesLateStart(job& current, steady_time now);
-  void Withdraw(job& current, std::uint32_t step_number, std::uint32_t index);
-  job_answer TimeoutAnswer(const job& current) const;
+  bool RefusesLateStart(parallel_job& current, steady_time now);
+  job_answer TimeoutAnswer(const parallel_job& current) const;
   void End(const job_id& id, const job_answer& answer);
-  void LogRun(const char* event, const endpoint_key& place, const run_key& key,
-              const nlohmann::json& more);
-  job* FindJob(const job_id& id);
+  parallel_job* FindJob(const job_id& id);
   service_backlog ServiceBacklog(const service_id& service) const;
 
   const clock_interface& clock_;
@@ -165,11 +113,10 @@
   hooks hooks_;
   steady_time started_at_;
   job_admission admission_;
+  task_placer placer_;
   run_queue queue_;
-  std::unordered_map<job_id, std::unique_ptr<job>> jobs_;
+  std::unordered_map<job_id, std::unique_ptr<parallel_job>> jobs_;
   std::map<service_id, milliseconds> queued_cpu_time_;
-  /// Tasks whose starts were sent to wait at an agent.
-  std::set<waiting_task> waiting_orders_;
   caller_id last_caller_;
   bool dispatching_ = false;
   counter& complete_;
@@ -177,7 +124,6 @@
   counter& refused_;
   counter& timed_out_;
   counter& callers_left_;
-  counter& runs_placed_;
   counter& runs_retried_;
   summary& job_seconds_;
   summary& wait_seconds_;
