--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -67,9 +67,12 @@
 }
 
 control_process_api::hooks control_process::ApiHooks() {
-  return {[this] { return IsLeader(); }, [this] { return LeaderId(); },
+  return {[this] { return IsLeader(); },
+          [this] { return LeaderId(); },
           [this] { return LeaderHttpAddress(); },
-          [this] { return Replicas(); }};
+          [this] { return Replicas(); },
+          [this](const socket_address& peer) { RecordWaiting(peer); },
+          [this] { return CountWaiting(); }};
 }
 
 replica_host_settings control_process::HostSettings() const {
@@ -78,13 +81,14 @@
   result.self = replica_id(settings_.id);
   for (const control_address& replica : settings_.replicas) {
     const bool self = replica.id == settings_.id;
-    result.replicas.push_back({replica_id(replica.id),
-                               self ? settings_.listen_peer : replica.peer,
-                               replica.control, replica.founder});
+    result.replicas.push_back(
+        {replica_id(replica.id), self ? settings_.listen_peer : replica.peer,
+         replica.control, replica.founder, replica.added});
   }
   result.data_folder = settings_.data_dir;
   result.bootstrap = settings_.bootstrap;
   result.snapshot_after_entries = kSnapshotAfterEntries;
+  result.max_places = settings_.max_places;
   return result;
 }
 
@@ -145,20 +149,30 @@
 
 std::vector<control_address> control_process::ReplicaAddresses() const {
   std::vector<control_address> result = settings_.replicas;
-  for (control_address& replica : result) {
-    const auto move = machine_.MovedReplicas().find(replica.id);
-    if (move == machine_.MovedReplicas().end()) continue;
-    const auto peer = socket_address::Parse(move->second.peer);
-    const auto control = socket_address::Parse(move->second.control);
-    if (peer) replica.peer = *peer;
-    if (control) replica.control = *control;
-    replica.http = socket_address::Parse(move->second.http);
+  const auto find = [&result](const std::string& id) {
+    return std::find_if(
+        result.begin(), result.end(),
+        [&id](const auto& replica) { return replica.id == id; });
+  };
+  for (const auto& [id, move] : machine_.MovedReplicas()) {
+    auto replica = find(id);
+    if (replica == result.end()) {
+      result.push_back({id, {}, {}, std::nullopt, false, true});
+      replica = std::prev(result.end());
+    }
+    const auto peer = socket_address::Parse(move.peer);
+    const auto control = socket_address::Parse(move.control);
+    if (peer) replica->peer = *peer;
+    if (control) replica->control = *control;
+    replica->http = socket_address::Parse(move.http);
   }
   for (const control_address& reported : reported_replicas_) {
-    for (control_address& replica : result) {
-      if (replica.id == reported.id && replica.id != settings_.id) {
-        replica = reported;
-      }
+    if (reported.id == settings_.id) continue;
+    const auto replica = find(reported.id);
+    if (replica == result.end()) {
+      result.push_back(reported);
+    } else {
+      *replica = reported;
     }
   }
   return result;
@@ -180,6 +194,52 @@
   }
 }
 
+void control_process::ReportAddresses() {
+  if (!on_addresses_) return;
+  std::vector<control_address> addresses = ReplicaAddresses();
+  for (std::size_t i = 0; i < settings_.replicas.size(); ++i) {
+    if (settings_.replicas[i].id == settings_.id) {
+      addresses[i] = settings_.replicas[i];
+    }
+  }
+  if (addresses == settings_.replicas) return;
+  settings_.replicas = std::move(addresses);
+  on_addresses_(settings_.replicas);
+}
+
+void control_process::RecordWaiting(const socket_address& peer) {
+  waiting_[peer] = clock_.SteadyNow();
+}
+
+std::size_t control_process::CountWaiting() {
+  const steady_time now = clock_.SteadyNow();
+  std::erase_if(waiting_, [now](const auto& process) {
+    return now - process.second >= kReplicaLossTimeout;
+  });
+  for (const replica_summary& replica : Replicas()) {
+    const auto peer = socket_address::Parse(replica.peer);
+    const bool joined =
+        replica.silent_for && *replica.silent_for < kReplicaLossTimeout;
+    if (peer && joined) waiting_.erase(*peer);
+  }
+  return waiting_.size();
+}
+
+void control_process::CheckNewPlace(const replica_status& status) {
+  const bool added = std::any_of(
+      settings_.replicas.begin(), settings_.replicas.end(),
+      [this](auto& own) { return own.id == settings_.id && own.added; });
+  if (!added || status.admitted || status.leader.Empty()) {
+    unplaced_since_.reset();
+    return;
+  }
+  const steady_time now = clock_.SteadyNow();
+  if (!unplaced_since_) unplaced_since_ = now;
+  if (now - *unplaced_since_ >= kNewPlaceTimeout) {
+    EndReplaced("has no place, because the leader added none");
+  }
+}
+
 void control_process::ReportAddressChange() {
   const replica_address_change own{
       settings_.id, settings_.listen_peer.ToString(),
@@ -213,6 +273,7 @@
 
 void control_process::CheckPlace() {
   const replica_status status = host_->Status();
+  CheckNewPlace(status);
   if (status.replaced) {
     EndReplaced("was replaced by another process");
   } else if (status.admitted && !status.leader.Empty()) {
@@ -234,7 +295,7 @@
   assignment_finder::hooks hooks;
   hooks.on_replicas = [this](const auto& replicas) { OnReplicas(replicas); };
   finder_ = std::make_unique<assignment_finder>(
-      loop_, control_address(), std::move(addresses), std::move(hooks));
+      loop_, clock_, control_address(), std::move(addresses), std::move(hooks));
 }
 
 void control_process::OnReplicas(const std::vector<control_address>& replicas) {
@@ -274,6 +335,7 @@
     replica_summary& summary = result.emplace_back();
     summary.id = replica.id;
     summary.founder = replica.founder;
+    summary.added = replica.added;
     if (replica.peer.port != 0) {
       summary.peer = replica.peer.ToString();
       summary.control = replica.control.ToString();
@@ -354,6 +416,7 @@
   ReportLaggingProcesses();
   RecordAddresses();
   UpdatePeerAddresses();
+  ReportAddresses();
   ReportAddressChange();
   CheckPlace();
   metrics_.Gauge("almond_control_leader").Set(IsLeader() ? 1 : 0);
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -31,6 +31,9 @@
   /// the loop for longer than several replication heartbeats, so snapshots have
   /// to be rare.
   static constexpr std::size_t kSnapshotAfterEntries = 100000;
+  /// Time after which a new place that was not added is given up. Several times
+  /// as long as a process takes to join.
+  static constexpr milliseconds kNewPlaceTimeout{6000};
 
   /// @param loop the process's loop; outlives the process
   /// @param clock source of time; outlives the process
@@ -56,6 +59,12 @@
   void OnReplaced(std::function<void()> on_replaced) {
     on_replaced_ = std::move(on_replaced);
   }
+  /// @param on_addresses called with the addresses of all replicas when they
+  ///   have changed, so that they can be stored for the next start
+  void OnAddresses(
+      std::function<void(const std::vector<control_address>&)> on_addresses) {
+    on_addresses_ = std::move(on_addresses);
+  }
   control_service& Service() { return service_; }
   const control_state_machine& State() const { return machine_; }
   /// @returns the leader's HTTP address, empty if unknown
@@ -87,6 +96,14 @@
   /// @returns the current addresses of all replicas
   std::vector<control_address> ReplicaAddresses() const;
   void UpdatePeerAddresses();
+  /// Reports the addresses to the hook when they have changed.
+  void ReportAddresses();
+  void RecordWaiting(const socket_address& peer);
+  /// @returns the number of processes that asked for a place lately
+  std::size_t CountWaiting();
+  /// Gives up a new place that the leader does not add, so that this process
+  /// can take over the place of a lost replica.
+  void CheckNewPlace(const replica_status& status);
   void ReportAddressChange();
   void CheckPlace();
   /// Asks other control processes for the addresses of all replicas while this
@@ -124,6 +141,12 @@
   /// Addresses that the leader reported to the finder, while there is one.
   std::vector<control_address> reported_replicas_;
   std::map<std::string, known_address> known_addresses_;
+  std::function<void(const std::vector<control_address>&)> on_addresses_;
+  /// Processes that wait for a place, with the time of their last request.
+  std::map<socket_address, steady_time> waiting_;
+  /// Time since which a leader is known that has not added this process's
+  /// place.
+  std::optional<steady_time> unplaced_since_;
   /// Time at which the newest configuration was accepted, until all known
   /// processes have it in force.
   std::optional<steady_time> accepted_at_;
--- a/src/libalmond/processes/control_process_api.cc
+++ b/src/libalmond/processes/control_process_api.cc
@@ -51,7 +51,7 @@
   } else if (request.path == "/v1/status") {
     respond(Status());
   } else if (request.path == "/v1/replicas") {
-    GetReplicas(respond);
+    GetReplicas(request, respond);
   } else if (request.path == "/v1/replicas/claim") {
     respond(ReasonResponse(405, "unknown-method"));
   } else if (request.path == "/healthz") {
@@ -143,18 +143,22 @@
                         service_.Directory().Processes(), hooks_.replicas());
 }
 
-void control_process_api::GetReplicas(const http_server::responder& respond) {
+void control_process_api::GetReplicas(const http_request& request,
+                                      const http_server::responder& respond) {
   if (!hooks_.is_leader()) {
     respond(NotLeaderResponse(hooks_.leader_http()));
     return;
   }
+  if (const auto peer = ParseWaitingQuery(request.query)) {
+    hooks_.on_waiting(*peer);
+  }
   // A leader that has not applied the log yet may name a process that has been
   // replaced, and its successor would give up its place and its data.
   service_.Read([this, respond](bool confirmed) {
-    respond(confirmed
-                ? StatusResponse(machine_.Config().Newest(), hooks_.leader_id(),
-                                 {}, hooks_.replicas())
-                : NotLeaderResponse(hooks_.leader_http()));
+    respond(confirmed ? ReplicasResponse(machine_.Config().Newest(),
+                                         hooks_.leader_id(), hooks_.replicas(),
+                                         hooks_.waiting())
+                      : NotLeaderResponse(hooks_.leader_http()));
   });
 }
 
--- a/src/libalmond/processes/control_process_api.h
+++ b/src/libalmond/processes/control_process_api.h
@@ -22,6 +22,11 @@
     /// @returns the leader's HTTP address, empty if unknown
     std::function<std::string()> leader_http;
     std::function<std::vector<replica_summary>()> replicas;
+    /// Called with the address of a process that asks for the replicas because
+    /// it waits for a place.
+    std::function<void(const socket_address&)> on_waiting;
+    /// @returns the number of processes that wait for a place
+    std::function<std::size_t()> waiting;
   };
 
   /// All references outlive the interface.
@@ -48,7 +53,8 @@
                  const http_server::responder& respond);
   void GetHistory(const http_server::responder& respond);
   http_response Status() const;
-  void GetReplicas(const http_server::responder& respond);
+  void GetReplicas(const http_request& request,
+                   const http_server::responder& respond);
   http_response Health() const;
 
   control_service& service_;
--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -12,6 +12,8 @@
 
 using nlohmann::json;
 
+const std::string kWaitingName = "waiting=";
+
 http_response JsonResponse(int status, const json& body) {
   return {status,
           {{"Content-Type", "application/json"}},
@@ -130,11 +132,28 @@
     result["control"] = replica.control;
   }
   if (!replica.founder) result["founder"] = false;
+  if (replica.added) result["added"] = true;
   if (!replica.http.empty()) result["http"] = replica.http;
   if (replica.silent_for) result["silent_ms"] = replica.silent_for->count();
   return result;
 }
 
+json StatusJson(config_version newest, const std::string& leader,
+                const std::vector<process_status>& processes,
+                const std::vector<replica_summary>& replicas) {
+  json body = {{"newest", newest.Value()},
+               {"leader", leader},
+               {"processes", json::array()},
+               {"replicas", json::array()}};
+  for (const process_status& process : processes) {
+    body["processes"].push_back(ProcessJson(process));
+  }
+  for (const replica_summary& replica : replicas) {
+    body["replicas"].push_back(ReplicaJson(replica));
+  }
+  return body;
+}
+
 json ToJson(const replica_address_change& move) {
   return {{"id", move.id},
           {"peer", move.peer},
@@ -273,17 +292,24 @@
 http_response StatusResponse(config_version newest, const std::string& leader,
                              const std::vector<process_status>& processes,
                              const std::vector<replica_summary>& replicas) {
-  json body = {{"newest", newest.Value()},
-               {"leader", leader},
-               {"processes", json::array()},
-               {"replicas", json::array()}};
-  for (const process_status& process : processes) {
-    body["processes"].push_back(ProcessJson(process));
-  }
-  for (const replica_summary& replica : replicas) {
-    body["replicas"].push_back(ReplicaJson(replica));
-  }
+  return JsonResponse(200, StatusJson(newest, leader, processes, replicas));
+}
+
+http_response ReplicasResponse(config_version newest, const std::string& leader,
+                               const std::vector<replica_summary>& replicas,
+                               std::size_t waiting) {
+  json body = StatusJson(newest, leader, {}, replicas);
+  body["waiting"] = waiting;
   return JsonResponse(200, body);
 }
 
+std::string EncodeWaitingQuery(const socket_address& peer) {
+  return kWaitingName + peer.ToString();
+}
+
+std::optional<socket_address> ParseWaitingQuery(const std::string& query) {
+  if (query.rfind(kWaitingName, 0) != 0) return std::nullopt;
+  return socket_address::Parse(query.substr(kWaitingName.size()));
+}
+
 }  // namespace almond
--- a/src/libalmond/processes/control_process_codec.h
+++ b/src/libalmond/processes/control_process_codec.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libalmond/controllers/control/control_service.h"
+#include "libalmond/core/socket_address.h"
 #include "libalmond/net/http_message.h"
 
 namespace almond {
@@ -33,6 +34,7 @@
   /// Time since the leader's last contact with it; known only on the leader.
   std::optional<milliseconds> silent_for = {};
   bool founder = true;  ///< see control_address::founder
+  bool added = false;   ///< see control_address::added
   /// Incarnation that is admitted.
   std::optional<replica_incarnation> incarnation = {};
 };
@@ -85,6 +87,19 @@
                              const std::vector<process_status>& processes,
                              const std::vector<replica_summary>& replicas);
 
+/// @param waiting number of processes that wait for a place
+/// @returns the response to GET /v1/replicas
+http_response ReplicasResponse(config_version newest, const std::string& leader,
+                               const std::vector<replica_summary>& replicas,
+                               std::size_t waiting);
+
+/// @returns the query of GET /v1/replicas from a process that waits for a place
+/// @param peer its address for the other replicas
+std::string EncodeWaitingQuery(const socket_address& peer);
+/// @returns the address of the process that waits for a place, or nothing if
+///   the query names none
+std::optional<socket_address> ParseWaitingQuery(const std::string& query);
+
 }  // namespace almond
 
 #endif  // ALMOND_PROCESSES_CONTROL_PROCESS_CODEC_H_
--- a/src/libalmond/processes/control_process_settings.h
+++ b/src/libalmond/processes/control_process_settings.h
@@ -20,6 +20,8 @@
   std::optional<socket_address> http;  ///< for operators, if set
   /// False for a place that is vacant in a new cluster.
   bool founder = true;
+  /// True for a place that was added to a running cluster.
+  bool added = false;
 
   bool operator==(const control_address&) const = default;
 };
@@ -35,6 +37,9 @@
   socket_address listen_http;
   std::string data_dir;
   bool bootstrap = false;
+  /// Number of places up to which the log grows while processes wait for one;
+  /// 0 keeps the number of the bootstrap.
+  std::size_t max_places = 0;
 };
 
 /// @param text "ID=IP:PORT/IP:PORT,..." with the addresses for replicas and for
--- a/src/libalmond/processes/control_standby.cc
+++ b/src/libalmond/processes/control_standby.cc
@@ -15,8 +15,8 @@
     event_loop& loop, const clock_interface& clock, settings configured,
     const std::function<void(const replica_assignment&)>& on_claimed)
     : settings_(std::move(configured)),
-      finder_(loop, settings_.own, settings_.http_addresses,
-              FinderHooks(on_claimed)),
+      finder_(loop, clock, settings_.own, settings_.http_addresses,
+              FinderHooks(on_claimed), settings_.growth),
       http_(loop,
             [this, &clock](const http_request& request,
                            const http_server::responder& respond) {
--- a/src/libalmond/processes/control_standby.h
+++ b/src/libalmond/processes/control_standby.h
@@ -26,6 +26,8 @@
     /// Folder for the addresses of the replicas, with which the process finds
     /// them again after a restart. Without one, it claims no place.
     std::string data_dir;
+    /// Adding of places while all present ones are held.
+    place_growth growth = {};
   };
 
   /// @param loop the process's loop; outlives the standby
--- a/src/libalmond/processes/replica_assignment.cc
+++ b/src/libalmond/processes/replica_assignment.cc
@@ -9,6 +9,7 @@
 #include "libalmond/core/json_text.h"
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/control_process_codec.h"
+#include "libalmond/replication/replica.h"
 #include "libalmond/storage/checksummed_file.h"
 #include "libalmond/storage/storage_error.h"
 
@@ -22,6 +23,26 @@
   return data_dir + "/replicas";
 }
 
+/// @returns true for a place that is claimed but not yet added to the log; it
+///   does not count towards a majority
+bool IsJoining(const replica_liveness& replica) {
+  return replica.address.added && !replica.admitted;
+}
+
+bool IsPresent(const replica_liveness& replica) {
+  return replica.is_leader || replica.silent_for < kReplicaAbsenceTimeout;
+}
+
+std::string UnusedPlaceId(const std::vector<replica_liveness>& replicas) {
+  for (std::size_t number = replicas.size() + 1;; ++number) {
+    std::string id = "place-" + std::to_string(number);
+    const bool used = std::any_of(
+        replicas.begin(), replicas.end(),
+        [&id](const auto& other) { return other.address.id == id; });
+    if (!used) return id;
+  }
+}
+
 std::string TextField(const json& body, const char* name) {
   const auto field = body.find(name);
   return field != body.end() && field->is_string() ? field->get<std::string>()
@@ -34,6 +55,8 @@
   address.id = TextField(body, "id");
   const auto founder = body.find("founder");
   address.founder = founder == body.end() || *founder != json(false);
+  const auto added = body.find("added");
+  address.added = added != body.end() && *added == json(true);
   const bool vacant = !address.founder && !body.contains("peer");
   if (vacant && !address.id.empty()) return address;
   const auto peer = socket_address::Parse(TextField(body, "peer"));
@@ -48,6 +71,7 @@
 json ToJson(const control_address& address) {
   json body = {{"id", address.id}};
   if (!address.founder) body["founder"] = false;
+  if (address.added) body["added"] = true;
   if (address.peer.port == 0) return body;
   body["peer"] = address.peer.ToString();
   body["control"] = address.control.ToString();
@@ -76,6 +100,7 @@
     const std::vector<replica_liveness>& replicas, const control_address& own) {
   const replica_liveness* chosen = nullptr;
   for (const replica_liveness& replica : replicas) {
+    if (IsJoining(replica)) continue;
     if (replica.address.peer == own.peer) {
       chosen = &replica;
       break;
@@ -100,6 +125,51 @@
   return result;
 }
 
+std::optional<replica_assignment> ChooseNewPlace(
+    const std::vector<replica_liveness>& replicas, const control_address& own,
+    std::size_t waiting, std::size_t max_places) {
+  std::size_t places = 0;
+  std::size_t joining = 0;
+  const replica_liveness* abandoned = nullptr;
+  replica_assignment result;
+  for (const replica_liveness& replica : replicas) {
+    result.replicas.push_back(replica.address);
+    const bool is_own = replica.address.peer == own.peer;
+    if (!IsJoining(replica)) {
+      if (!replica.admitted || !IsPresent(replica)) return std::nullopt;
+      ++places;
+    } else if (is_own || replica.silent_for >= kReplicaLossTimeout) {
+      if (abandoned == nullptr || is_own) abandoned = &replica;
+    } else {
+      ++joining;
+    }
+  }
+  const std::size_t missing = places % 2 == 0 ? 1 : 2;
+  if (places < replica::kMinGrownPlaces || places + missing > max_places ||
+      places + joining >= max_places || waiting + joining < missing) {
+    return std::nullopt;
+  }
+  if (abandoned != nullptr) {
+    result.id = abandoned->address.id;
+    return result;
+  }
+  result.id = UnusedPlaceId(replicas);
+  control_address& place = result.replicas.emplace_back();
+  place.id = result.id;
+  place.founder = false;
+  place.added = true;
+  return result;
+}
+
+std::size_t ParseWaitingCount(const std::string& status) {
+  const json body = ParseJson(status);
+  if (!body.is_object()) return 0;
+  const auto waiting = body.find("waiting");
+  return waiting != body.end() && waiting->is_number_unsigned()
+             ? waiting->get<std::size_t>()
+             : 0;
+}
+
 std::optional<std::vector<replica_liveness>> ParseReplicaLiveness(
     const std::string& status) {
   const json body = ParseJson(status);
@@ -112,11 +182,13 @@
     const auto address = ParseAddress(replica);
     if (!address) return std::nullopt;
     replica_liveness liveness{*address, TextField(replica, "role") == "leader",
-                              milliseconds(0)};
+                              milliseconds(0), true};
     const auto silent_for = replica.find("silent_ms");
     if (silent_for != replica.end() && silent_for->is_number_integer()) {
       liveness.silent_for = milliseconds(silent_for->get<std::int64_t>());
     }
+    const auto admitted = replica.find("admitted");
+    liveness.admitted = admitted == replica.end() || *admitted != json(false);
     replicas.push_back(std::move(liveness));
   }
   return replicas;
@@ -160,13 +232,17 @@
   return checksummed_file::Write(AssignmentPath(data_dir), body.dump());
 }
 
-assignment_finder::assignment_finder(event_loop& loop, control_address own,
+assignment_finder::assignment_finder(event_loop& loop,
+                                     const clock_interface& clock,
+                                     control_address own,
                                      std::vector<socket_address> http_addresses,
-                                     hooks callbacks)
+                                     hooks callbacks, place_growth growth)
     : loop_(loop),
+      clock_(clock),
       own_(std::move(own)),
       http_addresses_(std::move(http_addresses)),
-      hooks_(std::move(callbacks)) {
+      hooks_(std::move(callbacks)),
+      growth_(growth) {
   SchedulePoll(kSearchPeriod);
 }
 
@@ -186,8 +262,15 @@
 }
 
 void assignment_finder::RequestReplicas() {
+  const bool may_grow = hooks_.on_claimed && growth_.max_places != 0;
   SendHttpRequest(
-      loop_, NextAddress(), {"GET", "/v1/replicas", "", {}, ""}, kPollTimeout,
+      loop_, NextAddress(),
+      {"GET",
+       "/v1/replicas" + (may_grow ? "?" + EncodeWaitingQuery(own_.peer) : ""),
+       "",
+       {},
+       ""},
+      kPollTimeout,
       [this, alive = std::weak_ptr(alive_)](const http_call_result& result) {
         if (!alive.expired()) OnReplicas(result);
       });
@@ -219,7 +302,7 @@
     if (hooks_.on_replicas) hooks_.on_replicas(replicas_);
   }
   auto assignment =
-      hooks_.on_claimed ? ChooseAssignment(*replicas, own_) : std::nullopt;
+      ChoosePlace(*replicas, ParseWaitingCount(result.response.body));
   if (assignment) {
     Claim(std::move(*assignment));
   } else {
@@ -227,6 +310,21 @@
   }
 }
 
+std::optional<replica_assignment> assignment_finder::ChoosePlace(
+    const std::vector<replica_liveness>& replicas, std::size_t waiting) {
+  if (!hooks_.on_claimed) return std::nullopt;
+  if (auto present = ChooseAssignment(replicas, own_)) return present;
+  auto added = ChooseNewPlace(replicas, own_, waiting, growth_.max_places);
+  if (!added) {
+    growth_possible_since_.reset();
+    return std::nullopt;
+  }
+  const steady_time now = clock_.SteadyNow();
+  if (!growth_possible_since_) growth_possible_since_ = now;
+  if (now - *growth_possible_since_ < growth_.delay) return std::nullopt;
+  return added;
+}
+
 void assignment_finder::Claim(replica_assignment assignment) {
   const auto place = std::find_if(
       assignment.replicas.begin(), assignment.replicas.end(),
--- a/src/libalmond/processes/replica_assignment.h
+++ b/src/libalmond/processes/replica_assignment.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "libalmond/core/clock.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/net/http_client.h"
 #include "libalmond/processes/control_process_settings.h"
@@ -25,10 +26,25 @@
   control_address address;
   bool is_leader = false;
   milliseconds silent_for{0};  ///< time since its last contact with the leader
+  bool admitted = true;        ///< is a voter
+};
+
+/// Adding of places to a running cluster.
+struct place_growth {
+  std::size_t max_places = 0;  ///< number of places to grow to; 0 for none
+  /// Time for which a new place must be possible before it is claimed, so that
+  /// the successor of a replica that is lost meanwhile takes over its place.
+  milliseconds delay{0};
 };
 
 /// Time without contact to the leader after which a replica may be replaced.
 inline constexpr milliseconds kReplicaLossTimeout{3000};
+/// Time without contact to the leader after which a replica counts as absent
+/// and no place is added.
+inline constexpr milliseconds kReplicaAbsenceTimeout{1000};
+/// place_growth::delay of a process that joins a running cluster.
+inline constexpr milliseconds kGrowthDelay{4000};
+static_assert(kGrowthDelay > kReplicaLossTimeout);
 
 /// @param tolerated_losses number of replicas that may be lost at once, with
 ///   their disks
@@ -49,6 +65,22 @@
 std::optional<replica_assignment> ChooseAssignment(
     const std::vector<replica_liveness>& replicas, const control_address& own);
 
+/// Chooses the new place that a process with an empty data folder claims. There
+/// is one only while all present places are held by replicas in contact with
+/// the leader, and enough processes wait to make the number of places odd: an
+/// even number tolerates no more losses than one less.
+/// @param own addresses of the process; the id is ignored
+/// @param waiting number of processes without a place, including this one
+/// @param max_places number of places to grow to
+/// @returns nothing while no place can be added
+std::optional<replica_assignment> ChooseNewPlace(
+    const std::vector<replica_liveness>& replicas, const control_address& own,
+    std::size_t waiting, std::size_t max_places);
+
+/// @param status body of GET /v1/replicas
+/// @returns the number of processes that wait for a place
+std::size_t ParseWaitingCount(const std::string& status);
+
 /// @param status body of GET /v1/replicas
 /// @returns the replicas, or nothing if the body is not a leader's response
 std::optional<std::vector<replica_liveness>> ParseReplicaLiveness(
@@ -83,9 +115,10 @@
 
   /// @param own addresses of this process
   /// @param http_addresses of control processes, at least one
-  assignment_finder(event_loop& loop, control_address own,
-                    std::vector<socket_address> http_addresses,
-                    hooks callbacks);
+  assignment_finder(event_loop& loop, const clock_interface& clock,
+                    control_address own,
+                    std::vector<socket_address> http_addresses, hooks callbacks,
+                    place_growth growth = {});
 
   void SetAddresses(std::vector<socket_address> http_addresses) {
     http_addresses_ = std::move(http_addresses);
@@ -97,15 +130,21 @@
   void SchedulePoll(milliseconds delay);
   void RequestReplicas();
   void OnReplicas(const http_call_result& result);
+  /// @returns the place to be claimed now, if any
+  std::optional<replica_assignment> ChoosePlace(
+      const std::vector<replica_liveness>& replicas, std::size_t waiting);
   void Claim(replica_assignment assignment);
   void OnClaimed(const replica_assignment& assignment,
                  const http_call_result& result);
   socket_address NextAddress();
 
   event_loop& loop_;
+  const clock_interface& clock_;
   control_address own_;
   std::vector<socket_address> http_addresses_;
   hooks hooks_;
+  place_growth growth_;
+  std::optional<steady_time> growth_possible_since_;
   std::size_t next_address_ = 0;
   std::optional<control_address> leader_;
   /// Address that another control process named as the leader's.
--- a/src/libalmond/processes/replica_host.cc
+++ b/src/libalmond/processes/replica_host.cc
@@ -23,17 +23,19 @@
 std::string CheckSettings(const replica_host_settings& settings) {
   if (!IsName(settings.cluster)) return "the cluster id is not a name";
   std::set<replica_id> ids;
+  std::size_t places = 0;
   for (const replica_address& replica : settings.replicas) {
     if (!IsName(replica.id.Value())) return "a replica id is not a name";
     if (!ids.insert(replica.id).second) {
       return "the replica " + replica.id.Value() + " is listed twice";
     }
+    if (!replica.added) ++places;
   }
   if (ids.count(settings.self) == 0) {
     return "the replica " + settings.self.Value() +
            " is not in the list of replicas";
   }
-  if (ids.size() % 2 == 0) return "the number of replicas is not odd";
+  if (places % 2 == 0) return "the number of replicas is not odd";
   return "";
 }
 
--- a/src/libalmond/processes/replica_host.h
+++ b/src/libalmond/processes/replica_host.h
@@ -24,6 +24,7 @@
   socket_address replication;
   socket_address service;  ///< for clients; only returned by Leader
   bool founder = true;     ///< see replica_settings::founders
+  bool added = false;      ///< has no place at the bootstrap
 };
 
 /// Settings of one replica.
@@ -37,6 +38,7 @@
   bool bootstrap = false;
   /// Number of log entries after which a snapshot is taken.
   std::size_t snapshot_after_entries = 10000;
+  std::size_t max_places = 0;  ///< see replica_settings::max_places
 };
 
 /// Runs one replica of the control log on the event loop, with connections to
@@ -83,7 +85,8 @@
   ///   may read the state machine during the call
   void ConfirmRead(read_hook on_end);
 
-  /// Changes the address at which another replica is dialled.
+  /// Changes the address at which another replica is dialled. A replica that is
+  /// not known yet may be given a new place.
   void SetPeerAddress(const replica_id& id, const socket_address& replication);
 
   bool IsLeader() const;
--- a/src/libalmond/processes/replica_host_implementation.cc
+++ b/src/libalmond/processes/replica_host_implementation.cc
@@ -21,10 +21,12 @@
   result.self = settings.self;
   result.incarnation = incarnation;
   for (const replica_address& replica : settings.replicas) {
+    if (replica.added) continue;
     result.replicas.push_back(replica.id);
     if (replica.founder) result.founders.push_back(replica.id);
   }
   result.snapshot_after_entries = settings.snapshot_after_entries;
+  result.max_places = settings.max_places;
   return result;
 }
 
@@ -60,6 +62,14 @@
         "almond_log_snapshots_total", "almond_log_failed_writes_total"}) {
     metrics_.Counter(name);
   }
+  for (const replica_address& replica : settings_.replicas) {
+    if (replica.added) replica_.AddReplica(replica.id, clock_.SteadyNow());
+  }
+  // The addresses of places that were added are in the log, which is applied
+  // only once there is a leader. Until then their replicas may dial this one.
+  for (const auto& [id, incarnation] : replica_.LatestMembers().voters) {
+    if (AddressOf(id) == nullptr) AddPeer(id);
+  }
   if (!links_.Start(AddressOf(settings_.self)->replication)) return false;
   Flush();
   tick_timer_ = loop_.Every(kTickPeriod, [this] {
@@ -91,6 +101,7 @@
 
 void replica_host::implementation::SetPeerAddress(
     const replica_id& id, const socket_address& replication) {
+  if (AddressOf(id) == nullptr) AddPeer(id);
   for (replica_address& replica : settings_.replicas) {
     if (replica.id != id || replica.replication == replication) continue;
     replica.replication = replication;
@@ -98,6 +109,11 @@
   }
 }
 
+void replica_host::implementation::AddPeer(const replica_id& id) {
+  settings_.replicas.push_back({id, {}, {}, false, true});
+  replica_.AddReplica(id, clock_.SteadyNow());
+}
+
 const replica_address* replica_host::implementation::AddressOf(
     const replica_id& id) const {
   for (const replica_address& replica : settings_.replicas) {
--- a/src/libalmond/processes/replica_host_implementation.h
+++ b/src/libalmond/processes/replica_host_implementation.h
@@ -34,6 +34,8 @@
   const replica_address* AddressOf(const replica_id& id) const;
 
  private:
+  /// Adds a replica without a known address.
+  void AddPeer(const replica_id& id);
   /// Processes the replica's output in the next loop iteration, so that all
   /// input of the current iteration shares one sync.
   void ScheduleFlush();
--- a/src/libalmond/replication/membership.cc
+++ b/src/libalmond/replication/membership.cc
@@ -45,6 +45,12 @@
   successors[id] = successor;
 }
 
+void membership::Add(const replica_id& id, replica_incarnation incarnation) {
+  if (HasPlace(id)) return;
+  voters[id] = incarnation;
+  ++places;
+}
+
 void membership::Admit(const replica_id& id, replica_incarnation incarnation) {
   voters[id] = incarnation;
   successors.erase(id);
--- a/src/libalmond/replication/membership.h
+++ b/src/libalmond/replication/membership.h
@@ -9,9 +9,10 @@
 
 namespace almond {
 
-/// The voting incarnation of each replica. Changes one replica at a time: first
-/// its incarnation is retired, which leaves the replica's place vacant, then
-/// the successor is admitted. The quorum is always a majority of all places,
+/// The voting incarnation of each replica. Changes one replica at a time. To
+/// replace a replica, its incarnation is retired first, which leaves the
+/// replica's place vacant, then the successor is admitted. A new place is added
+/// together with its voter. The quorum is always a majority of all places,
 /// vacant ones included, so any quorum before a change overlaps any quorum
 /// after it.
 struct membership {
@@ -36,6 +37,13 @@
   replica_incarnation VoterOf(const replica_id& id) const;
   /// Retires the replica's incarnation and sets its successor.
   void Replace(const replica_id& id, replica_incarnation successor);
+  /// @returns true if the replica is a voter or will be the next one at its
+  ///   place; false for the places that were left vacant at the bootstrap
+  bool HasPlace(const replica_id& id) const {
+    return voters.count(id) != 0 || successors.count(id) != 0;
+  }
+  /// Adds a place with its voter, unless the replica has one.
+  void Add(const replica_id& id, replica_incarnation incarnation);
   /// Makes the incarnation a voter.
   void Admit(const replica_id& id, replica_incarnation incarnation);
 
--- a/src/libalmond/replication/replica.cc
+++ b/src/libalmond/replication/replica.cc
@@ -42,6 +42,12 @@
              message.body);
 }
 
+void replica::AddReplica(const replica_id& id, steady_time now) {
+  if (id == settings_.self || !added_.insert(id).second) return;
+  if (role_ != replica_role::leader) return;
+  progress_.emplace(id, follower_progress(log_.Last() + 1, now));
+}
+
 bool replica::ShouldIgnore(const replica_message& message) const {
   // An uncommitted replacement may still be overwritten.
   const membership& members = log_.MembersAt(commit_index_);
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,10 +23,15 @@
 struct replica_settings {
   replica_id self;
   replica_incarnation incarnation;
-  std::vector<replica_id> replicas;  ///< all replicas, including this one
+  /// Replicas that have a place from the bootstrap on. Equal at all replicas.
+  std::vector<replica_id> replicas;
   /// Replicas that form a new cluster; the others are admitted later. Equal at
   /// all replicas.
   std::vector<replica_id> founders;
+  /// Number of places up to which the leader adds new ones, see AddReplica; 0
+  /// for no new places. They are added in pairs, because an even number of
+  /// places tolerates no more losses than one less.
+  std::size_t max_places = 0;
   /// Number of applied entries after which a snapshot is due.
   std::size_t snapshot_after_entries = 10000;
   /// Number of entries covered by a snapshot that stay in memory, for replicas
@@ -61,6 +67,9 @@
   /// Number of entries that a leader sends to a replica without waiting for its
   /// acknowledgement.
   static constexpr log_index kMaxInFlightEntries = 4096;
+  /// Number of places below which none are added: a second place would make
+  /// the log depend on both.
+  static constexpr std::size_t kMinGrownPlaces = 3;
 
   /// @param random source of election timeouts; outlives the replica
   /// @param state recovered from the disk; empty for a new disk
@@ -70,6 +79,9 @@
   /// Handles timeouts; to be called at intervals of at most about 20 ms.
   void Tick(steady_time now);
   void Receive(const replica_message& message, steady_time now);
+  /// Makes a replica known that has no place yet. As the leader, this replica
+  /// sends it the log and adds a place for it once that is possible.
+  void AddReplica(const replica_id& id, steady_time now);
   /// @param on_end emitted in the completions of a later output
   void Propose(std::string command, proposal_hook on_end);
   /// @param on_end called with true once a majority has confirmed the
@@ -97,6 +109,8 @@
 
   bool IsLeader() const { return role_ == replica_role::leader; }
   replica_status Status() const;
+  /// @returns the membership after the last entry, which may not be committed
+  const membership& LatestMembers() const { return log_.Members(); }
   /// @returns the leader that may be named to others: this replica while it has
   ///   contact with a majority, or one that it has heard from within
   ///   kLeaderSilenceTimeout; else empty. A replica that was suspended may take
@@ -160,6 +174,18 @@
   void AdvanceCommit();
   void ProposeMemberChange(const replica_id& id,
                            const follower_progress& progress, steady_time now);
+  /// @returns the kind of change that makes the replica's incarnation a voter,
+  ///   or nothing if none is possible now
+  std::optional<log_entry_kind> NextMemberChange(
+      const replica_id& id, replica_incarnation incarnation,
+      steady_time now) const;
+  bool HasPlace(const replica_id& id) const;
+  /// @returns true if a place can be added while every present place is held by
+  ///   a voter that has answered lately
+  bool CanAddPlace(steady_time now) const;
+  bool HasAnswered(const replica_id& id, replica_incarnation incarnation,
+                   steady_time now) const;
+  std::size_t CountJoining(steady_time now) const;
   /// @returns true if the voters other than this one that have answered lately
   ///   are a quorum, this replica included
   bool HasQuorumWithout(const replica_id& id, steady_time now) const;
@@ -183,6 +209,7 @@
   void TakeCommitted(replica_output& output);
 
   const replica_settings settings_;
+  std::set<replica_id> added_;  ///< see AddReplica
   std::mt19937_64& random_;
   replica_log log_;
   vote_record vote_;
--- a/src/libalmond/replication/replica_leader.cc
+++ b/src/libalmond/replication/replica_leader.cc
@@ -33,8 +33,14 @@
   role_ = replica_role::leader;
   leader_ = settings_.self;
   progress_.clear();
-  for (const replica_id& id : settings_.replicas) {
-    if (id == settings_.self) continue;
+  std::set<replica_id> others = added_;
+  others.insert(settings_.replicas.begin(), settings_.replicas.end());
+  for (const auto& [id, incarnation] : log_.Members().voters) others.insert(id);
+  for (const auto& [id, incarnation] : log_.Members().successors) {
+    others.insert(id);
+  }
+  others.erase(settings_.self);
+  for (const replica_id& id : others) {
     progress_.emplace(id, follower_progress(log_.Last() + 1, now));
   }
   leadership_start_ = now;
@@ -148,29 +154,80 @@
   ResolveReads();
 }
 
+bool replica::HasAnswered(const replica_id& id, replica_incarnation incarnation,
+                          steady_time now) const {
+  if (id == settings_.self) return true;
+  const auto found = progress_.find(id);
+  return found != progress_.end() &&
+         found->second.Incarnation() == incarnation &&
+         now - found->second.LastContact() < kLeaderSilenceTimeout;
+}
+
 bool replica::HasQuorumWithout(const replica_id& id, steady_time now) const {
   const membership& members = log_.Members();
   std::size_t live = 0;
   for (const auto& [voter, incarnation] : members.voters) {
-    if (voter == id) continue;
-    const auto found = progress_.find(voter);
-    const bool answers =
-        found != progress_.end() &&
-        found->second.Incarnation() == incarnation &&
-        now - found->second.LastContact() < kLeaderSilenceTimeout;
-    if (voter == settings_.self || answers) ++live;
+    if (voter != id && HasAnswered(voter, incarnation, now)) ++live;
   }
   return live >= members.Quorum();
 }
 
-void replica::ProposeMemberChange(const replica_id& id,
-                                  const follower_progress& progress,
-                                  steady_time now) {
+bool replica::HasPlace(const replica_id& id) const {
+  const auto& replicas = settings_.replicas;
+  return log_.Members().HasPlace(id) ||
+         std::find(replicas.begin(), replicas.end(), id) != replicas.end();
+}
+
+std::size_t replica::CountJoining(steady_time now) const {
+  return static_cast<std::size_t>(std::count_if(
+      progress_.begin(), progress_.end(), [&](const auto& follower) {
+        const auto& [id, progress] = follower;
+        return !HasPlace(id) && progress.IsLive() &&
+               progress.MatchIndex() >= commit_index_ &&
+               HasAnswered(id, progress.Incarnation(), now);
+      }));
+}
+
+bool replica::CanAddPlace(steady_time now) const {
+  const membership& members = log_.Members();
+  const std::size_t missing = members.places % 2 == 0 ? 1 : 2;
+  if (members.places < kMinGrownPlaces ||
+      members.places + missing > settings_.max_places ||
+      members.voters.size() < members.places || CountJoining(now) < missing) {
+    return false;
+  }
+  return std::all_of(members.voters.begin(), members.voters.end(),
+                     [&](const auto& voter) {
+                       return HasAnswered(voter.first, voter.second, now);
+                     });
+}
+
+std::optional<log_entry_kind> replica::NextMemberChange(
+    const replica_id& id, replica_incarnation incarnation,
+    steady_time now) const {
   const membership& members = log_.Members();
-  const replica_incarnation incarnation = progress.Incarnation();
   if (members.IsVoter(id, incarnation) || members.IsRetired(id, incarnation)) {
-    return;
+    return std::nullopt;
   }
+  if (!HasPlace(id)) {
+    if (!CanAddPlace(now)) return std::nullopt;
+    return log_entry_kind::add;
+  }
+  const auto successor = members.successors.find(id);
+  if (successor != members.successors.end() &&
+      successor->second == incarnation) {
+    return log_entry_kind::admit;
+  }
+  // A voter that is replaced loses its vote at once. Without a majority of the
+  // others the change could not be committed, and no leader be elected again,
+  // though the voter may be back.
+  if (!HasQuorumWithout(id, now)) return std::nullopt;
+  return log_entry_kind::replace;
+}
+
+void replica::ProposeMemberChange(const replica_id& id,
+                                  const follower_progress& progress,
+                                  steady_time now) {
   // One change at a time, and none before an entry of this term is committed;
   // otherwise the quorums of two leaders might not overlap.
   if (commit_index_ < term_start_index_ ||
@@ -178,17 +235,12 @@
     return;
   }
   if (!progress.IsLive() || progress.MatchIndex() < commit_index_) return;
-  const auto successor = members.successors.find(id);
-  const bool named =
-      successor != members.successors.end() && successor->second == incarnation;
-  // A voter that is replaced loses its vote at once. Without a majority of the
-  // others the change could not be committed, and no leader be elected again,
-  // though the voter may be back.
-  if (!named && !HasQuorumWithout(id, now)) return;
+  const auto kind = NextMemberChange(id, progress.Incarnation(), now);
+  if (!kind) return;
   log_entry entry;
-  entry.kind = named ? log_entry_kind::admit : log_entry_kind::replace;
+  entry.kind = *kind;
   entry.replica = id;
-  entry.incarnation = incarnation;
+  entry.incarnation = progress.Incarnation();
   Append(std::move(entry));
 }
 
--- a/src/libalmond/replication/replica_log.cc
+++ b/src/libalmond/replication/replica_log.cc
@@ -42,15 +42,17 @@
 }
 
 void replica_log::RecordMemberChange(log_index index, const log_entry& entry) {
-  if (entry.kind != log_entry_kind::replace &&
-      entry.kind != log_entry_kind::admit) {
+  if (entry.kind == log_entry_kind::no_op ||
+      entry.kind == log_entry_kind::command) {
     return;
   }
   membership changed = Members();
   if (entry.kind == log_entry_kind::replace) {
     changed.Replace(entry.replica, entry.incarnation);
-  } else {
+  } else if (entry.kind == log_entry_kind::admit) {
     changed.Admit(entry.replica, entry.incarnation);
+  } else {
+    changed.Add(entry.replica, entry.incarnation);
   }
   members_.emplace(index, std::move(changed));
 }
--- a/src/libalmond/replication/replication_messages.h
+++ b/src/libalmond/replication/replication_messages.h
@@ -16,7 +16,8 @@
   no_op,    ///< first entry of a leader's term
   command,  ///< for the state machine
   replace,  ///< retires a replica's incarnation and sets its successor
-  admit     ///< makes the successor a voter
+  admit,    ///< makes the successor a voter
+  add       ///< adds a place whose replica is a voter at once
 };
 
 /// One entry of the control log.
@@ -24,8 +25,8 @@
   log_term term = 0;
   log_entry_kind kind = log_entry_kind::no_op;
   std::string command;              ///< for kind `command`
-  replica_id replica;               ///< for kinds `replace` and `admit`
-  replica_incarnation incarnation;  ///< for kinds `replace` and `admit`
+  replica_id replica;               ///< for changes of the membership
+  replica_incarnation incarnation;  ///< for changes of the membership
 
   /// @returns approximate size in memory in bytes
   std::size_t Size() const { return sizeof(log_entry) + command.size(); }
--- a/src/libalmond/wire/replication_values.cc
+++ b/src/libalmond/wire/replication_values.cc
@@ -28,7 +28,7 @@
   entry.incarnation =
       NumberFromWire<replica_incarnation>(encoded.place.incarnation);
   return ReadNumber(encoded.term, entry.term) &&
-         EnumFromWire(encoded.kind, log_entry_kind::admit, entry.kind);
+         EnumFromWire(encoded.kind, log_entry_kind::add, entry.kind);
 }
 
 ReplicaMembers Encode(const membership& members) {
--- a/tests/control/control_process_api_test.cc
+++ b/tests/control/control_process_api_test.cc
@@ -49,9 +49,26 @@
        [] { return "127.0.0.1:7201"; },
        [] {
          return std::vector<replica_summary>{{"c1", "leader", true, 3, 9}};
-       }}};
+       },
+       [this](const socket_address& peer) { waiting_.push_back(peer); },
+       [this] { return waiting_.size(); }}};
+  std::vector<socket_address> waiting_;
 };
 
+// Guards against a cluster that does not grow because the processes without a
+// place are not counted.
+TEST_CASE_METHOD(
+    control_process_api_fixture,
+    "control api / replicas asked for by a process without a place "
+    "/ it is counted") {
+  REQUIRE(Call("GET", "/v1/replicas") == 200);
+  CHECK(Body()["waiting"] == 0);
+  REQUIRE(Call("GET", "/v1/replicas", "",
+               EncodeWaitingQuery({"10.0.0.8", 7720})) == 200);
+  CHECK(Body()["waiting"] == 1);
+  CHECK(waiting_.front() == socket_address{"10.0.0.8", 7720});
+}
+
 // Guards against outcomes that an operator's program cannot tell apart.
 TEST_CASE_METHOD(control_process_api_fixture,
                  "control api / changes / each outcome has its own answer") {
--- a/tests/control/control_process_test.cc
+++ b/tests/control/control_process_test.cc
@@ -1,5 +1,6 @@
 #include "libalmond/processes/control_process.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -20,6 +21,7 @@
 class control_process_fixture {
  protected:
   static constexpr std::size_t kReplicas = 3;
+  static constexpr std::size_t kMaxPlaces = 5;
 
   control_process_fixture() {
     std::string pattern =
@@ -55,9 +57,32 @@
         loop_, clock_,
         control_settings{self.id, "test", data_centre_id("nl-west-1"),
                          replicas_, self.peer, self.control, *self.http,
-                         folder_ + "/" + self.id, bootstrap});
+                         folder_ + "/" + self.id, bootstrap, kMaxPlaces});
     REQUIRE(processes_[index]->Start() == std::nullopt);
   }
+  /// Claims a new place and starts a process there.
+  void StartAtNewPlace() {
+    const std::size_t index = replicas_.size();
+    replicas_.push_back({"place-" + std::to_string(index + 1), ports_.Reserve(),
+                         ports_.Reserve(), ports_.Reserve(), false, true});
+    const control_address& own = replicas_.back();
+    PostClaim({{own.id, own.peer.ToString(), own.control.ToString(),
+                own.http->ToString()},
+               ""});
+    Start(index, false);
+  }
+  std::size_t CountAdmitted() {
+    std::optional<http_call_result> end;
+    SendHttpRequest(loop_, *replicas_[Leader()].http,
+                    {"GET", "/v1/replicas", "", {}, ""}, milliseconds(20000),
+                    [&end](const http_call_result& result) { end = result; });
+    RunUntil([&end] { return end.has_value(); });
+    const auto replicas = ParseReplicaLiveness(end->response.body);
+    if (!replicas) return 0;
+    return static_cast<std::size_t>(
+        std::count_if(replicas->begin(), replicas->end(),
+                      [](const auto& replica) { return replica.admitted; }));
+  }
   void StartClient() {
     client_ = std::make_unique<control_client_link>(
         loop_, clock_, metrics_, addresses_,
@@ -263,5 +288,21 @@
   CHECK(clock_.SteadyNow() - start >= kReplicaLossTimeout);
 }
 
+// Guards against a process at a new place that the replicas do not accept, and
+// against replicas that do not know its address after a restart.
+TEST_CASE_METHOD(control_process_fixture,
+                 "control process / two processes claim new places / both are "
+                 "admitted and their addresses reported") {
+  std::vector<control_address> reported;
+  processes_.at(0)->OnAddresses([&](const auto& known) { reported = known; });
+  StartAtNewPlace();
+  RunFor(milliseconds(1500));
+  CHECK(CountAdmitted() == 3);
+  StartAtNewPlace();
+  while (CountAdmitted() < 5) RunFor(milliseconds(100));
+  RunUntil([&reported] { return reported.size() == 5; });
+  CHECK(reported == replicas_);
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/control/control_standby_test.cc
+++ b/tests/control/control_standby_test.cc
@@ -55,15 +55,16 @@
   http_response AnswerAsLeader(const http_request& request) {
     if (!leader_known_) return NotLeaderResponse("");
     if (request.method == "GET") {
-      return StatusResponse(config_version(1), "a", {}, replicas_);
+      waiting_peer_ = ParseWaitingQuery(request.query);
+      return ReplicasResponse(config_version(1), "a", replicas_, waiting_);
     }
     claims_.push_back(DecodeReplicaClaim(request.body).value());
     return {claims_.size() <= refused_claims_ ? 409 : 200, {}, "{}"};
   }
-  void Start(const std::string& data_dir) {
+  void Start(const std::string& data_dir, place_growth growth = {}) {
     standby_ = std::make_unique<control_standby>(
         loop_, clock_,
-        control_standby::settings{own_, {leader_.Address()}, data_dir},
+        control_standby::settings{own_, {leader_.Address()}, data_dir, growth},
         [this](const replica_assignment& claimed) { claimed_ = claimed; });
     REQUIRE(standby_->Start() == std::nullopt);
   }
@@ -93,6 +94,8 @@
   std::vector<replica_claim> claims_;
   std::size_t refused_claims_ = 0;
   bool leader_known_ = true;
+  std::size_t waiting_ = 2;
+  std::optional<socket_address> waiting_peer_;
   std::optional<replica_assignment> claimed_;
   const temporary_folder folder_;
   std::unique_ptr<control_standby> standby_;
@@ -200,6 +203,36 @@
   CHECK(claims_.empty());
 }
 
+// Guards against processes that wait while the cluster may grow.
+TEST_CASE_METHOD(control_standby_fixture,
+                 "control standby / all places held / claims a new place after "
+                 "the delay") {
+  replicas_.push_back(Replica("c", "follower", "127.0.0.9:4"));
+  for (replica_summary& replica : replicas_) replica.admitted = true;
+  const steady_time start = clock_.SteadyNow();
+  Start(folder_.File("data"), {9, milliseconds(1500)});
+  RunUntil([this] { return claimed_.has_value(); });
+  CHECK(clock_.SteadyNow() - start >= milliseconds(1500));
+  CHECK(waiting_peer_ == own_.peer);
+  CHECK(claims_.back().addresses.id == "place-4");
+  CHECK(claims_.back().expected_peer.empty());
+  CHECK(claimed_->replicas.back().peer == own_.peer);
+  CHECK(claimed_->replicas.back().added);
+}
+
+// Guards against growth that no setting calls for.
+TEST_CASE_METHOD(control_standby_fixture,
+                 "control standby / all places held, no growth configured / "
+                 "claims no place") {
+  replicas_.push_back(Replica("c", "follower", "127.0.0.9:4"));
+  for (replica_summary& replica : replicas_) replica.admitted = true;
+  Start(folder_.File("data"));
+  AwaitLeader();
+  RunFor(2 * assignment_finder::kIdlePeriod);
+  CHECK(claims_.empty());
+  CHECK_FALSE(waiting_peer_);
+}
+
 // Guards against a process without a disk that acknowledges entries.
 TEST_CASE_METHOD(control_standby_fixture,
                  "control standby / no data folder / claims no place") {
--- a/tests/control/replica_assignment_test.cc
+++ b/tests/control/replica_assignment_test.cc
@@ -83,6 +83,84 @@
   CHECK(assignment.replicas.at(2).id == "place-3");
 }
 
+/// Five places, all held, the first one by the leader.
+std::vector<replica_liveness> HeldPlaces() {
+  std::vector<replica_liveness> replicas;
+  for (int i = 1; i <= 5; ++i) {
+    replicas.push_back(Replica("10.0.0." + std::to_string(i),
+                               milliseconds(i == 1 ? 0 : 90), i == 1));
+  }
+  return replicas;
+}
+
+/// @returns a place that is claimed but not yet added
+replica_liveness JoiningPlace(const std::string& ip, const std::string& id,
+                              milliseconds silent_for) {
+  replica_liveness joining = Replica(ip, silent_for);
+  joining.address.id = id;
+  joining.address.founder = false;
+  joining.address.added = true;
+  joining.admitted = false;
+  return joining;
+}
+
+// Guards against processes that wait for ever beside a smaller majority.
+TEST_CASE("new place / two processes wait beside held places / one is added") {
+  const auto assignment = ChooseNewPlace(HeldPlaces(), At("10.0.0.8"), 2, 9);
+  REQUIRE(assignment);
+  CHECK(assignment->id == "place-6");
+  REQUIRE(assignment->replicas.size() == 6);
+  CHECK(assignment->replicas.back().added);
+  CHECK_FALSE(assignment->replicas.back().founder);
+  CHECK(assignment->replicas.back().peer.port == 0);
+}
+
+// Guards against an even number of places, which needs one replica more.
+TEST_CASE("new place / number of processes that wait / becomes odd") {
+  std::vector<replica_liveness> replicas = HeldPlaces();
+  CHECK_FALSE(ChooseNewPlace(replicas, At("10.0.0.8"), 1, 9));
+  replicas.push_back(JoiningPlace("10.0.0.6", "place-6", milliseconds(0)));
+  CHECK(ChooseNewPlace(replicas, At("10.0.0.8"), 1, 9)->id == "place-7");
+  replicas.back().admitted = true;
+  CHECK(ChooseNewPlace(replicas, At("10.0.0.8"), 1, 9)->id == "place-7");
+  CHECK_FALSE(ChooseNewPlace(replicas, At("10.0.0.8"), 1, 6));
+}
+
+// Guards against growth while the successor of a lost replica may still come,
+// or while a place of the bootstrap is vacant.
+TEST_CASE("new place / place not held / none is added") {
+  std::vector<replica_liveness> replicas = HeldPlaces();
+  replicas[2].silent_for = kReplicaAbsenceTimeout;
+  CHECK_FALSE(ChooseNewPlace(replicas, At("10.0.0.8"), 2, 9));
+  replicas = HeldPlaces();
+  replicas[4].admitted = false;
+  CHECK_FALSE(ChooseNewPlace(replicas, At("10.0.0.8"), 2, 9));
+}
+
+// Guards against growth beyond the maximum, without the setting, or of a single
+// replica, which would depend on a second one then.
+TEST_CASE("new place / maximum reached or single replica / none is added") {
+  CHECK_FALSE(ChooseNewPlace(HeldPlaces(), At("10.0.0.8"), 2, 0));
+  CHECK_FALSE(ChooseNewPlace(HeldPlaces(), At("10.0.0.8"), 2, 5));
+  CHECK_FALSE(ChooseNewPlace(HeldPlaces(), At("10.0.0.8"), 2, 6));
+  CHECK_FALSE(ChooseNewPlace({HeldPlaces().front()}, At("10.0.0.8"), 2, 9));
+}
+
+// Guards against a place that stays unused after its process has left, or that
+// is preferred to one that counts towards the majority.
+TEST_CASE("new place / claimant has left / place is claimed again") {
+  std::vector<replica_liveness> replicas = HeldPlaces();
+  replicas.push_back(JoiningPlace("10.0.0.6", "place-6", kReplicaLossTimeout));
+  CHECK_FALSE(ChooseAssignment(replicas, At("10.0.0.8")));
+  CHECK_FALSE(ChooseAssignment(replicas, At("10.0.0.6")));
+  const auto assignment = ChooseNewPlace(replicas, At("10.0.0.8"), 2, 9);
+  REQUIRE(assignment);
+  CHECK(assignment->id == "place-6");
+  CHECK(assignment->replicas.size() == 6);
+  replicas[3].silent_for = kReplicaLossTimeout;
+  CHECK(ChooseAssignment(replicas, At("10.0.0.6"))->id == "10.0.0.4");
+}
+
 // Guards against a status that is parsed with wrong values, and against other
 // responses that are taken for the status of a leader.
 TEST_CASE("replica assignment / status of a leader / read back") {
@@ -111,6 +189,28 @@
   CHECK_FALSE(ParseReplicaLiveness("nothing"));
 }
 
+// Guards against growth by a wrong number of processes, or by processes whose
+// place is not added yet.
+TEST_CASE("replica assignment / processes wait and join / read back") {
+  replica_summary joining;
+  joining.id = "place-6";
+  joining.peer = "10.0.0.6:1";
+  joining.control = "10.0.0.6:2";
+  joining.founder = false;
+  joining.added = true;
+  const http_response response =
+      ReplicasResponse(config_version(3), "a", {joining}, 2);
+  CHECK(ParseWaitingCount(response.body) == 2);
+  CHECK(ParseWaitingCount("{}") == 0);
+  const auto liveness = ParseReplicaLiveness(response.body);
+  REQUIRE(liveness);
+  CHECK(liveness->at(0).address.added);
+  CHECK_FALSE(liveness->at(0).admitted);
+  const socket_address peer{"10.0.0.8", 1};
+  CHECK(ParseWaitingQuery(EncodeWaitingQuery(peer)) == peer);
+  CHECK_FALSE(ParseWaitingQuery(""));
+}
+
 // Guards against an assignment that is lost at a restart, or that is loaded
 // although its addresses have no ids.
 TEST_CASE("replica assignment / saved in a folder / loaded") {
@@ -129,6 +229,18 @@
   CHECK(assignment->replicas.at(0) == named);
 }
 
+// Guards against an added place that is taken for one of the bootstrap after a
+// restart, which would change the majority.
+TEST_CASE("replica assignment / saved with an added place / loaded") {
+  const temporary_folder folder;
+  control_address added = At("10.0.0.6");
+  added.id = "place-6";
+  added.founder = false;
+  added.added = true;
+  REQUIRE(bool(SaveAssignment(folder.File("data"), {"place-6", {added}})));
+  CHECK(LoadAssignment(folder.File("data")).value()->replicas.at(0) == added);
+}
+
 // Guards against a vacant place that gets lost when an assignment is stored.
 TEST_CASE("replica assignment / saved with a vacant place / loaded") {
   const temporary_folder folder;
--- a/tests/replication/log_simulation.cc
+++ b/tests/replication/log_simulation.cc
@@ -5,7 +5,7 @@
 namespace almond {
 
 log_simulation::log_simulation(std::uint64_t seed, std::size_t replicas,
-                               std::size_t founders)
+                               std::size_t founders, std::size_t joining)
     : random_(seed) {
   replica_settings settings;
   settings.incarnation = kBootstrapIncarnation;
@@ -16,9 +16,12 @@
   for (std::size_t i = 0; i < replicas; ++i) {
     settings.replicas.emplace_back(std::string(1, static_cast<char>('a' + i)));
   }
+  const std::vector<replica_id> all = settings.replicas;
+  settings.replicas.resize(replicas - joining);
   settings.founders = settings.replicas;
   if (founders != 0) settings.founders.resize(founders);
-  for (const replica_id& id : settings.replicas) {
+  if (joining != 0) settings.max_places = kMaxPlaces;
+  for (const replica_id& id : all) {
     settings.self = id;
     if (replicas_.size() >= settings.founders.size()) {
       settings.incarnation = replica_incarnation(next_incarnation_++);
@@ -26,6 +29,9 @@
     replicas_.push_back(std::make_unique<simulated_replica>(
         settings, random_, history_,
         [this](const replica_message& message) { Send(message); }));
+    replicas_.back()->SetJoining(
+        {all.begin() + static_cast<std::ptrdiff_t>(settings.replicas.size()),
+         all.end()});
     replicas_.back()->Start(now_);
   }
 }
--- a/tests/replication/log_simulation.h
+++ b/tests/replication/log_simulation.h
@@ -28,11 +28,14 @@
 class log_simulation {
  public:
   static constexpr milliseconds kStep{10};
+  static constexpr std::size_t kMaxPlaces = 9;
 
   /// @param founders number of replicas that form the cluster; the others
   ///   start with empty disks; 0 means all
+  /// @param joining number of replicas, the last ones, that have no place at
+  ///   the bootstrap
   log_simulation(std::uint64_t seed, std::size_t replicas,
-                 std::size_t founders = 0);
+                 std::size_t founders = 0, std::size_t joining = 0);
 
   /// Runs with random faults and client operations.
   void Run(milliseconds time, const fault_rates& rates);
--- a/tests/replication/replication_codec_test.cc
+++ b/tests/replication/replication_codec_test.cc
@@ -13,13 +13,15 @@
     membership members = membership::Bootstrap(
         {replica_id("a"), replica_id("b"), replica_id("c")}, 3);
     members.Replace(replica_id("b"), replica_incarnation(0xFFFFFFFFFFFFFFF1));
+    members.Add(replica_id("d"), replica_incarnation(10));
     return members;
   }
   static std::vector<log_entry> Entries() {
-    return {{3, log_entry_kind::no_op, "", {}, {}},
-            {3, log_entry_kind::command, std::string("\0\xFF", 2), {}, {}},
-            {4, log_entry_kind::admit, "", replica_id("b"),
-             replica_incarnation(9)}};
+    return {
+        {3, log_entry_kind::no_op, "", {}, {}},
+        {3, log_entry_kind::command, std::string("\0\xFF", 2), {}, {}},
+        {4, log_entry_kind::admit, "", replica_id("b"), replica_incarnation(9)},
+        {4, log_entry_kind::add, "", replica_id("d"), replica_incarnation(10)}};
   }
   static std::vector<replica_message> Messages() {
     const replica_message base{replica_id("a"), replica_incarnation(5),
--- a/tests/replication/simulated_replica.cc
+++ b/tests/replication/simulated_replica.cc
@@ -21,6 +21,7 @@
 void simulated_replica::Start(steady_time now) {
   state_ = 0;
   replica_ = std::make_unique<replica>(settings_, random_, disk_, now);
+  for (const replica_id& id : joining_) replica_->AddReplica(id, now);
 }
 
 void simulated_replica::Kill() {
--- a/tests/replication/simulated_replica.h
+++ b/tests/replication/simulated_replica.h
@@ -22,6 +22,10 @@
   simulated_replica(replica_settings settings, std::mt19937_64& random,
                     log_history& history, send_hook send);
 
+  /// @param joining replicas without a place that are known at each start
+  void SetJoining(std::vector<replica_id> joining) {
+    joining_ = std::move(joining);
+  }
   void Start(steady_time now);
   /// Kills the replica and drops a random part of its pending syncs.
   void Kill();
@@ -62,6 +66,7 @@
   void WriteRecords(const std::vector<persistent_record>& records);
 
   replica_settings settings_;
+  std::vector<replica_id> joining_;
   std::mt19937_64& random_;
   log_history& history_;
   send_hook send_;
