--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -32,6 +32,10 @@
               "name of the cluster; a data folder of another cluster is "
               "rejected");
 DEFINE_string(data_centre, "", "data centre of this replica");
+DEFINE_string(
+    data_centres, "",
+    "all data centres of the deployment, separated by commas, besides "
+    "those of the configuration; no other one can be evacuated");
 DEFINE_bool(bootstrap, false,
             "initialise an empty data folder as part of a new cluster; only "
             "for the first start of every replica");
@@ -62,6 +66,7 @@
   settings.id = FLAGS_id;
   settings.cluster = FLAGS_cluster;
   settings.data_centre = data_centre_id(FLAGS_data_centre);
+  settings.data_centres = ParseDataCentres(FLAGS_data_centres);
   settings.data_dir = FLAGS_data_dir;
   settings.bootstrap = FLAGS_bootstrap;
   const auto replicas = ParseReplicas(FLAGS_replicas);
--- a/src/libalmond/config/config_loader.cc
+++ b/src/libalmond/config/config_loader.cc
@@ -166,6 +166,11 @@
 
 }  // namespace
 
+std::vector<data_centre_id> NamedDataCentres(const config_document& document) {
+  std::vector<config_error> errors;
+  return ReadConfigLayer(document.base, "base", errors).data_centres;
+}
+
 std::vector<config_error> CheckDocument(const config_document& document) {
   return document_checker(document).Errors();
 }
--- a/src/libalmond/config/config_loader.h
+++ b/src/libalmond/config/config_loader.h
@@ -28,6 +28,9 @@
 /// @returns all errors; empty if the document is valid
 std::vector<config_error> CheckDocument(const config_document& document);
 
+/// @returns the data centres that the base file names; empty if it is malformed
+std::vector<data_centre_id> NamedDataCentres(const config_document& document);
+
 /// Merges the base file with the overlay of one data centre.
 /// @param document a configuration
 /// @param data_centre if it has no overlay, the base file applies unchanged
--- a/src/libalmond/controllers/control/command_codec.cc
+++ b/src/libalmond/controllers/control/command_codec.cc
@@ -156,6 +156,24 @@
   value.expected_peer = reader.Text();
 }
 
+void Write(byte_writer& writer, const evacuation_change& value) {
+  writer.Text(value.data_centre.Value());
+  writer.Number(value.evacuated ? 1 : 0);
+}
+
+void Read(byte_reader& reader, evacuation_change& value) {
+  value.data_centre = data_centre_id(reader.Text());
+  value.evacuated = reader.Number() != 0;
+}
+
+void Write(byte_writer& writer, const evacuation_result& value) {
+  writer.Number(value.revision);
+}
+
+void Read(byte_reader& reader, evacuation_result& value) {
+  value.revision = evacuation_revision(reader.Number());
+}
+
 void Write(byte_writer& writer, const replica_claim_result& value) {
   writer.Number(value.accepted ? 1 : 0);
 }
--- a/src/libalmond/controllers/control/control_command.h
+++ b/src/libalmond/controllers/control/control_command.h
@@ -9,6 +9,7 @@
 #include "libalmond/controllers/control/config_store.h"
 #include "libalmond/controllers/control/ledger.h"
 #include "libalmond/core/control_messages.h"
+#include "libalmond/core/evacuations.h"
 
 namespace almond {
 
@@ -55,6 +56,13 @@
   bool accepted = false;
 };
 
+/// Result of evacuation_change.
+struct evacuation_result {
+  evacuation_revision revision;  ///< in which the change is in force
+
+  bool operator==(const evacuation_result&) const = default;
+};
+
 /// One entry of the replicated log.
 struct control_command {
   /// Leader's clock at the proposal. Applying the command advances the log
@@ -62,7 +70,7 @@
   wall_time now;
   std::variant<ledger_claim_message, ledger_finish_message, takeover_command,
                config_change, versioned_config, replica_address_change,
-               replica_claim>
+               replica_claim, evacuation_change>
       body;
 };
 
@@ -81,7 +89,7 @@
 using control_result =
     std::variant<claim_result, ledger_finish_reply_message, takeover_result,
                  change_result, replica_address_change_result,
-                 replica_claim_result>;
+                 replica_claim_result, evacuation_result>;
 
 }  // namespace almond
 
--- a/src/libalmond/controllers/control/control_service.cc
+++ b/src/libalmond/controllers/control/control_service.cc
@@ -15,6 +15,7 @@
       hooks_(std::move(callbacks)),
       directory_(clock),
       last_tick_(clock.SteadyNow()),
+      evacuations_(clock, machine.Evacuations(), directory_, EvacuationHooks()),
       claims_(metrics.Counter("almond_control_claims_total")),
       not_leader_replies_(metrics.Counter("almond_control_not_leader_total")),
       takeovers_(metrics.Counter("almond_control_takeovers_total")),
@@ -77,12 +78,9 @@
 
 void control_service::ProposeChange(const control_command& command,
                                     change_hook on_answer) {
-  auto pending = std::make_shared<pending_change>(pending_change{
-      clock_.SteadyNow() + kChangeTimeout, std::move(on_answer)});
-  pending_changes_.push_back(pending);
-  const auto on_end = [pending](const proposal_result& end) {
-    const change_hook answer = std::exchange(pending->on_answer, nullptr);
-    if (!answer) return;
+  const change_hook answer = pending_changes_.Add(
+      clock_.SteadyNow() + kChangeTimeout, std::move(on_answer));
+  const auto on_end = [answer](const proposal_result& end) {
     if (end.outcome == proposal_outcome::not_leader) {
       answer(change_not_leader{});
       return;
@@ -99,6 +97,22 @@
   hooks_.propose(EncodeCommand(command), on_end);
 }
 
+void control_service::ChangeEvacuation(
+    const evacuation_change& change,
+    evacuation_controller::answer_hook on_answer) {
+  UpdateLeadership();
+  evacuations_.Change(change, std::move(on_answer));
+}
+
+evacuation_controller::hooks control_service::EvacuationHooks() {
+  return {[this](const evacuation_change& change, proposal_hook on_end) {
+            hooks_.propose(EncodeCommand(MakeCommand(change)),
+                           std::move(on_end));
+          },
+          [this](read_hook on_confirmed) { Read(std::move(on_confirmed)); },
+          [this] { return leader_; }, [this] { return hooks_.data_centres(); }};
+}
+
 void control_service::ChangeReplicaAddress(const replica_address_change& change,
                                            std::function<void(bool)> on_end) {
   hooks_.propose(EncodeCommand(MakeCommand(change)),
@@ -133,7 +147,8 @@
   if (now - last_tick_ > kMaxTickGap) directory_.RestartGracePeriod();
   last_tick_ = now;
   directory_.RemoveExpired();
-  ExpireChanges();
+  pending_changes_.Expire(now, change_outcome_unknown{});
+  evacuations_.Tick();
   if (leader_) TakeOverFromDeadOwners();
 }
 
@@ -147,9 +162,10 @@
                             const reply_hook& on_reply) {
   directory_.RecordHeartbeat(message);
   heartbeat_reply_message reply;
-  // A leader that has been replaced and does not know it yet may report an
-  // older version; processes ignore versions below their own.
+  // A leader that has been replaced and does not know it yet may report older
+  // versions; processes ignore versions below their own.
   reply.newest = machine_.Config().Newest();
+  reply.evacuations = machine_.Evacuations().Evacuations();
   const live_processes& live = directory_.LiveProcesses();
   reply.entries_digest = live.entries_digest;
   reply.entries_omitted = message.entries_digest == live.entries_digest;
@@ -260,18 +276,6 @@
   });
 }
 
-void control_service::ExpireChanges() {
-  const steady_time now = clock_.SteadyNow();
-  std::vector<change_hook> expired;
-  std::erase_if(pending_changes_, [now, &expired](const auto& pending) {
-    if (pending->on_answer && pending->deadline <= now) {
-      expired.push_back(std::exchange(pending->on_answer, nullptr));
-    }
-    return !pending->on_answer;
-  });
-  for (const change_hook& answer : expired) answer(change_outcome_unknown{});
-}
-
 void control_service::TakeOverFromDeadOwners() {
   if (takeovers_in_flight_ != 0) return;
   for (const ledger_owner& owner : machine_.Ledger().RunningOwners()) {
--- a/src/libalmond/controllers/control/control_service.h
+++ b/src/libalmond/controllers/control/control_service.h
@@ -9,8 +9,11 @@
 #include <vector>
 
 #include "libalmond/config/config_loader.h"
+#include "libalmond/controllers/control/change_answer.h"
 #include "libalmond/controllers/control/control_command.h"
 #include "libalmond/controllers/control/control_state_machine.h"
+#include "libalmond/controllers/control/evacuation_controller.h"
+#include "libalmond/controllers/control/pending_answers.h"
 #include "libalmond/controllers/control/process_directory.h"
 #include "libalmond/core/clock.h"
 #include "libalmond/core/control_messages.h"
@@ -19,20 +22,6 @@
 
 namespace almond {
 
-/// The change was not proposed because its document is invalid.
-struct change_invalid {
-  std::vector<config_error> errors;
-};
-/// The change was not proposed because this replica is not the leader.
-struct change_not_leader {};
-/// The change may have been accepted; a resend with the same change id returns
-/// the outcome.
-struct change_outcome_unknown {};
-
-/// Answer to an operator's configuration change.
-using change_answer = std::variant<change_result, change_invalid,
-                                   change_not_leader, change_outcome_unknown>;
-
 /// Serves requests of processes and operators on the control leader and takes
 /// over submissions of dead entries. Replies are passed to hooks, each of which
 /// is called at most once.
@@ -67,9 +56,13 @@
     std::function<void(std::function<void()>)> defer;
     /// Validates a configuration, see CheckDocument.
     std::function<std::vector<config_error>(const config_document&)> check;
+    /// @returns the data centres named by settings and configuration
+    std::function<std::vector<data_centre_id>()> data_centres = [] {
+      return std::vector<data_centre_id>();
+    };
   };
   using reply_hook = std::function<void(const control_reply&)>;
-  using change_hook = std::function<void(const change_answer&)>;
+  using change_hook = pending_answers<change_answer>::answer_hook;
 
   /// @param clock source of time; outlives the service
   /// @param machine the replicated state; outlives the service
@@ -98,6 +91,11 @@
   void SetVersionedConfig(const versioned_config& config,
                           change_hook on_answer);
 
+  /// Evacuates a data centre or takes it back, see evacuation_controller.
+  /// @param on_answer called once
+  void ChangeEvacuation(const evacuation_change& change,
+                        evacuation_controller::answer_hook on_answer);
+
   /// Proposes new addresses of a replica.
   /// @param on_end called with true once they are committed, otherwise with
   ///   false; after false they may still be committed later
@@ -124,11 +122,6 @@
   const process_directory& Directory() const { return directory_; }
 
  private:
-  struct pending_change {
-    steady_time deadline;
-    change_hook on_answer;
-  };
-
   void Serve(const heartbeat_message& message, const reply_hook& on_reply);
   void Serve(const fetch_config_message& message, const reply_hook& on_reply);
   void Serve(const ledger_claim_message& message, const reply_hook& on_reply);
@@ -144,8 +137,8 @@
   template <typename Body>
   control_command MakeCommand(Body body);
   void ProposeChange(const control_command& command, change_hook on_answer);
+  evacuation_controller::hooks EvacuationHooks();
   void ConfirmReads();
-  void ExpireChanges();
   void TakeOverFromDeadOwners();
   void TakeOver(const ledger_owner& owner,
                 const std::vector<ledger_owner>& successors);
@@ -160,7 +153,8 @@
   steady_time last_tick_;
   wall_time last_command_time_{};
   std::vector<read_hook> pending_reads_;
-  std::vector<std::shared_ptr<pending_change>> pending_changes_;
+  pending_answers<change_answer> pending_changes_;
+  evacuation_controller evacuations_;
   std::size_t takeovers_in_flight_ = 0;
   std::size_t next_successor_ = 0;
   counter& claims_;
--- a/src/libalmond/controllers/control/control_state_machine.cc
+++ b/src/libalmond/controllers/control/control_state_machine.cc
@@ -8,9 +8,11 @@
 namespace {
 
 // First value of each snapshot; changes with the layout.
-constexpr std::uint64_t kSnapshotFormat = 2;
-// Earlier snapshot layout, without replica address changes.
-constexpr std::uint64_t kOldSnapshotFormat = 1;
+constexpr std::uint64_t kSnapshotFormat = 3;
+// First layouts with replica address changes and with evacuations; a snapshot
+// of an earlier one is read without them.
+constexpr std::uint64_t kFormatWithAddresses = 2;
+constexpr std::uint64_t kFormatWithEvacuations = 3;
 
 }  // namespace
 
@@ -37,19 +39,20 @@
     writer.Text(change.control);
     writer.Text(change.http);
   }
+  evacuations_.Save(writer);
   return writer.Take();
 }
 
 bool control_state_machine::Restore(const std::string& snapshot) {
   byte_reader reader(snapshot);
   const std::uint64_t format = reader.Number();
-  if (format != kSnapshotFormat && format != kOldSnapshotFormat) return false;
+  if (format == 0 || format > kSnapshotFormat) return false;
   config_store config;
   ledger restored(options_);
   if (!config.Load(reader) || !restored.Load(reader)) return false;
   std::map<std::string, replica_address_change> address_changes;
   const std::uint64_t change_count =
-      format == kOldSnapshotFormat ? 0 : reader.Number();
+      format < kFormatWithAddresses ? 0 : reader.Number();
   for (std::uint64_t i = 0; i < change_count && reader.Ok(); ++i) {
     replica_address_change change;
     change.id = reader.Text();
@@ -58,7 +61,12 @@
     change.http = reader.Text();
     address_changes[change.id] = change;
   }
+  evacuation_store evacuations;
+  if (format >= kFormatWithEvacuations && !evacuations.Load(reader)) {
+    return false;
+  }
   if (!reader.Finished()) return false;
+  evacuations_ = std::move(evacuations);
   address_changes_ = std::move(address_changes);
   config_ = std::move(config);
   ledger_ = std::move(restored);
@@ -111,4 +119,8 @@
   return replica_claim_result{true};
 }
 
+control_result control_state_machine::Execute(const evacuation_change& change) {
+  return evacuation_result{evacuations_.Apply(change)};
+}
+
 }  // namespace almond
--- a/src/libalmond/controllers/control/control_state_machine.h
+++ b/src/libalmond/controllers/control/control_state_machine.h
@@ -6,13 +6,14 @@
 
 #include "libalmond/controllers/control/config_store.h"
 #include "libalmond/controllers/control/control_command.h"
+#include "libalmond/controllers/control/evacuation_store.h"
 #include "libalmond/controllers/control/ledger.h"
 
 namespace almond {
 
-/// The replicated state of the control processes: configuration, ledger and
-/// replica addresses. Deterministic: the same commands in the same order give
-/// the same state and results at every replica.
+/// The replicated state of the control processes: configuration, ledger,
+/// replica addresses and evacuations. Deterministic: the same commands in the
+/// same order give the same state and results at every replica.
 class control_state_machine {
  public:
   /// @param options limits of the ledger; must be equal at all replicas
@@ -32,6 +33,7 @@
 
   const config_store& Config() const { return config_; }
   const ledger& Ledger() const { return ledger_; }
+  const evacuation_store& Evacuations() const { return evacuations_; }
   /// @returns the replicas whose addresses have changed since the bootstrap, by
   ///   id
   const std::map<std::string, replica_address_change>& MovedReplicas() const {
@@ -46,11 +48,13 @@
   control_result Execute(const versioned_config& config);
   control_result Execute(const replica_address_change& change);
   control_result Execute(const replica_claim& claim);
+  control_result Execute(const evacuation_change& change);
 
   ledger_options options_;
   config_store config_;
   ledger ledger_;
   std::map<std::string, replica_address_change> address_changes_;
+  evacuation_store evacuations_;
 };
 
 }  // namespace almond
--- a/src/libalmond/controllers/control/process_directory.cc
+++ b/src/libalmond/controllers/control/process_directory.cc
@@ -107,6 +107,13 @@
   return found == numbers.end() ? 0 : found->second;
 }
 
+bool process_directory::HasDataCentre(const data_centre_id& data_centre) const {
+  return std::any_of(
+      processes_.begin(), processes_.end(), [&data_centre](const auto& listed) {
+        return listed.second.heartbeat.data_centre == data_centre;
+      });
+}
+
 std::vector<process_status> process_directory::Processes() const {
   std::vector<process_status> result;
   const steady_time now = clock_.SteadyNow();
@@ -118,7 +125,7 @@
 
 bool process_directory::IsOwnerDead(const ledger_owner& owner) const {
   const steady_time now = clock_.SteadyNow();
-  if (now - grace_start_ < kOwnerTimeout) return false;
+  if (InGracePeriod()) return false;
   const process* entry = FindEntry(owner.entry);
   if (entry != nullptr && IsLive(*entry) &&
       owner.incarnation < entry->heartbeat.incarnation) {
--- a/src/libalmond/controllers/control/process_directory.h
+++ b/src/libalmond/controllers/control/process_directory.h
@@ -67,6 +67,14 @@
   ///   is empty, or until all live agents have sent a heartbeat after
   ///   RestartGracePeriod
   std::uint32_t AlikeAgents(const std::string& endpoint_kind);
+  /// @returns true if a process of the data centre has sent a heartbeat within
+  ///   kRetentionPeriod
+  bool HasDataCentre(const data_centre_id& data_centre) const;
+  /// @returns true for kOwnerTimeout after RestartGracePeriod, while live
+  ///   processes may be missing
+  bool InGracePeriod() const {
+    return clock_.SteadyNow() - grace_start_ < kOwnerTimeout;
+  }
   /// @returns all processes with a heartbeat within kRetentionPeriod
   std::vector<process_status> Processes() const;
   /// @returns true if there was no contact with the owner for kOwnerTimeout, or
--- a/src/libalmond/core/control_messages.h
+++ b/src/libalmond/core/control_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libalmond/core/clock.h"
+#include "libalmond/core/evacuations.h"
 #include "libalmond/core/identifiers.h"
 #include "libalmond/core/outcome.h"
 #include "libalmond/core/uuid.h"
@@ -78,6 +79,7 @@
   bool entries_omitted = false;
   /// Number of live agents with the process's endpoint kind; 0 if unknown.
   std::uint32_t alike_agents = 0;
+  evacuation_list evacuations = {};
 };
 
 /// Process to control leader: requests the newest accepted configuration.
--- a/src/libalmond/core/evacuations.h
+++ b/src/libalmond/core/evacuations.h
@@ -2,6 +2,7 @@
 #define ALMOND_CORE_EVACUATIONS_H_
 
 #include <algorithm>
+#include <functional>
 #include <vector>
 
 #include "libalmond/core/identifiers.h"
@@ -23,6 +24,12 @@
                               data_centre);
   }
 
+  /// @returns true if the data centres are ascending and without duplicates
+  bool IsOrdered() const {
+    return std::adjacent_find(data_centres.begin(), data_centres.end(),
+                              std::greater_equal<>()) == data_centres.end();
+  }
+
   bool operator==(const evacuation_list&) const = default;
 };
 
--- a/src/libalmond/processes/control_client.cc
+++ b/src/libalmond/processes/control_client.cc
@@ -203,6 +203,7 @@
   redial_pending_ = false;
   if (!std::exchange(leader_confirmed_, true)) SendOpenRequests(duration(0));
   hooks_.on_newest(reply.newest);
+  if (hooks_.on_evacuations) hooks_.on_evacuations(reply.evacuations);
   ReportEntries(reply);
   for (const ledger_record& record : reply.takeovers) {
     hooks_.on_takeover(record);
--- a/src/libalmond/processes/control_client.h
+++ b/src/libalmond/processes/control_client.h
@@ -79,6 +79,9 @@
     /// Called before on_entries with the number of live agents that have
     /// endpoints of the same kind, or 0 if unknown; may be empty.
     std::function<void(std::uint32_t)> on_alike_agents = {};
+    /// Called before on_entries with the evacuated data centres of each
+    /// heartbeat reply, which may be older than known ones; may be empty.
+    std::function<void(const evacuation_list&)> on_evacuations = {};
   };
   /// Called once with the reply, or with nothing after the timeout.
   template <typename Reply>
--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -6,6 +6,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/net/http_client.h"
+#include "libalmond/processes/evacuation_report.h"
 #include "libalmond/processes/operator_log.h"
 #include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
@@ -63,7 +64,20 @@
           [this](std::function<void()> call) {
             loop_.Post(milliseconds(0), std::move(call));
           },
-          CheckDocument};
+          CheckDocument,
+          [this] { return DataCentres(); }};
+}
+
+std::vector<data_centre_id> control_process::DataCentres() const {
+  std::vector<data_centre_id> result = settings_.data_centres;
+  const config_store& config = machine_.Config();
+  const std::string* text = config.Document(config.Newest());
+  const auto document =
+      text == nullptr ? std::nullopt : config_document::Parse(*text);
+  if (!document) return result;
+  const auto named = NamedDataCentres(*document);
+  result.insert(result.end(), named.begin(), named.end());
+  return result;
 }
 
 control_process_api::hooks control_process::ApiHooks() {
@@ -122,23 +136,35 @@
 
 std::string control_process::Apply(const std::string& command) {
   const config_version before = machine_.Config().Newest();
+  const evacuation_revision evacuations =
+      machine_.Evacuations().Evacuations().revision;
   std::string result = machine_.Apply(command);
   const config_version newest = machine_.Config().Newest();
-  // Versions that are replayed from the log during the start are not reported.
+  // Changes that are replayed from the log during the start are not reported.
   if (host_ && newest != before) {
-    std::string copies;
-    if (IsLeader()) {
-      const replica_status status = host_->Status();
-      copies = ", synced by " + std::to_string(status.synced_copies) + " of " +
-               std::to_string(status.places) + " replicas";
-    }
     LOG(INFO) << "accepted configuration version " << newest << ", digest "
-              << machine_.Config().Digest(newest) << copies;
+              << machine_.Config().Digest(newest) << SyncedCopies();
     accepted_at_ = clock_.SteadyNow();
   }
+  if (host_ && machine_.Evacuations().Evacuations().revision != evacuations) {
+    LogEvacuations();
+  }
   return result;
 }
 
+void control_process::LogEvacuations() const {
+  const evacuation_list& list = machine_.Evacuations().Evacuations();
+  LOG(INFO) << "accepted evacuations of revision " << list.revision << ": "
+            << EvacuatedNames(list) << SyncedCopies();
+}
+
+std::string control_process::SyncedCopies() const {
+  if (!IsLeader()) return "";
+  const replica_status status = host_->Status();
+  return ", synced by " + std::to_string(status.synced_copies) + " of " +
+         std::to_string(status.places) + " replicas";
+}
+
 std::string control_process::LeaderId() const {
   return host_ ? host_->LeaderId().Value() : "";
 }
@@ -359,6 +385,7 @@
   metrics_.Gauge("almond_control_leader").Set(IsLeader() ? 1 : 0);
   metrics_.Gauge("almond_control_config_version")
       .Set(static_cast<double>(machine_.Config().Newest().Value()));
+  SetEvacuationGauge(machine_.Evacuations().Evacuations(), metrics_);
   metrics_.Gauge("almond_control_ledger_records")
       .Set(static_cast<double>(machine_.Ledger().Size()));
   metrics_.Gauge("almond_control_connections")
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -81,6 +81,11 @@
   replica_host::state_machine StateMachineHooks();
   std::optional<start_error> StartHost();
   std::string Apply(const std::string& command);
+  void LogEvacuations() const;
+  /// @returns the number of replicas that have synced the log, as text for the
+  ///   log; empty unless this replica is the leader
+  std::string SyncedCopies() const;
+  std::vector<data_centre_id> DataCentres() const;
   std::string LeaderId() const;
   /// @returns the addresses of the leader, or nothing if none is live
   std::optional<control_address> LeaderAddress() const;
--- a/src/libalmond/processes/control_process_api.cc
+++ b/src/libalmond/processes/control_process_api.cc
@@ -23,10 +23,12 @@
     : service_(service),
       machine_(machine),
       metrics_(metrics),
-      hooks_(std::move(callbacks)) {}
+      hooks_(std::move(callbacks)),
+      evacuations_(service, machine.Evacuations(), hooks_.leader_http) {}
 
 void control_process_api::Handle(const http_request& request,
                                  const http_server::responder& respond) {
+  if (evacuations_.Handle(request, respond)) return;
   if (!IsKnownPath(request.path)) {
     respond(ReasonResponse(404, "unknown-path"));
   } else if (request.method == "GET") {
@@ -140,7 +142,8 @@
 http_response control_process_api::Status() const {
   if (!hooks_.is_leader()) return NotLeaderResponse(hooks_.leader_http());
   return StatusResponse(machine_.Config().Newest(), hooks_.leader_id(),
-                        service_.Directory().Processes(), hooks_.replicas());
+                        service_.Directory().Processes(), hooks_.replicas(),
+                        machine_.Evacuations().Evacuations());
 }
 
 void control_process_api::GetReplicas(const http_server::responder& respond) {
--- a/src/libalmond/processes/control_process_api.h
+++ b/src/libalmond/processes/control_process_api.h
@@ -9,6 +9,7 @@
 #include "libalmond/core/metrics.h"
 #include "libalmond/net/http_server.h"
 #include "libalmond/processes/control_process_codec.h"
+#include "libalmond/processes/evacuation_api.h"
 
 namespace almond {
 
@@ -55,6 +56,7 @@
   const control_state_machine& machine_;
   const metrics_registry& metrics_;
   hooks hooks_;
+  evacuation_api evacuations_;
 };
 
 }  // namespace almond
--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -270,9 +270,18 @@
   return JsonResponse(200, {{"changes", changes}});
 }
 
+json EvacuationsJson(const evacuation_list& list) {
+  json names = json::array();
+  for (const data_centre_id& name : list.data_centres) {
+    names.push_back(name.Value());
+  }
+  return {{"revision", list.revision.Value()}, {"data_centres", names}};
+}
+
 http_response StatusResponse(config_version newest, const std::string& leader,
                              const std::vector<process_status>& processes,
-                             const std::vector<replica_summary>& replicas) {
+                             const std::vector<replica_summary>& replicas,
+                             const evacuation_list& evacuations) {
   json body = {{"newest", newest.Value()},
                {"leader", leader},
                {"processes", json::array()},
@@ -283,6 +292,9 @@
   for (const replica_summary& replica : replicas) {
     body["replicas"].push_back(ReplicaJson(replica));
   }
+  if (evacuations.revision.Value() != 0) {
+    body["evacuations"] = EvacuationsJson(evacuations);
+  }
   return JsonResponse(200, body);
 }
 
--- a/src/libalmond/processes/control_process_codec.h
+++ b/src/libalmond/processes/control_process_codec.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_PROCESSES_CONTROL_PROCESS_CODEC_H_
 #define ALMOND_PROCESSES_CONTROL_PROCESS_CODEC_H_
 
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <variant>
@@ -79,11 +80,16 @@
 
 http_response HistoryResponse(const config_store& store);
 
+/// @returns `revision` and `data_centres`
+nlohmann::json EvacuationsJson(const evacuation_list& list);
+
 /// @param newest newest accepted version
 /// @param leader the leader's replica id
+/// @param evacuations accepted evacuations; omitted if none was ever accepted
 http_response StatusResponse(config_version newest, const std::string& leader,
                              const std::vector<process_status>& processes,
-                             const std::vector<replica_summary>& replicas);
+                             const std::vector<replica_summary>& replicas,
+                             const evacuation_list& evacuations = {});
 
 }  // namespace almond
 
--- a/src/libalmond/processes/control_process_settings.cc
+++ b/src/libalmond/processes/control_process_settings.cc
@@ -48,4 +48,12 @@
   return result;
 }
 
+std::vector<data_centre_id> ParseDataCentres(std::string_view text) {
+  std::vector<data_centre_id> result;
+  for (const std::string_view part : Split(text, ',')) {
+    if (!part.empty()) result.emplace_back(std::string(part));
+  }
+  return result;
+}
+
 }  // namespace almond
--- a/src/libalmond/processes/control_process_settings.h
+++ b/src/libalmond/processes/control_process_settings.h
@@ -29,6 +29,8 @@
   std::string id;
   std::string cluster;
   data_centre_id data_centre;
+  /// Data centres of the deployment; empty if they are not known.
+  std::vector<data_centre_id> data_centres;
   std::vector<control_address> replicas;  ///< all, including this one
   socket_address listen_peer;
   socket_address listen_control;
@@ -44,6 +46,10 @@
 std::optional<std::vector<control_address>> ParseReplicas(
     std::string_view text);
 
+/// @param text names separated by commas
+/// @returns the names that are not empty
+std::vector<data_centre_id> ParseDataCentres(std::string_view text);
+
 }  // namespace almond
 
 #endif  // ALMOND_PROCESSES_CONTROL_PROCESS_SETTINGS_H_
--- a/src/libalmond/wire/control.thrift
+++ b/src/libalmond/wire/control.thrift
@@ -16,7 +16,8 @@
 struct EntryAddress { 1: string entry, 2: i64 incarnation, 3: string data_centre, 4: string peer_address }
 struct HeartbeatReply {
   1: i64 request, 2: i64 newest, 3: list<EntryAddress> entries, 4: list<LedgerRecord> takeovers,
-  5: i64 entries_digest, 6: bool entries_omitted, 7: i32 alike_agents
+  5: i64 entries_digest, 6: bool entries_omitted, 7: i32 alike_agents,
+  8: i64 evacuation_revision, 9: list<string> evacuated_data_centres
 }
 struct FetchConfig { 1: i64 request }
 struct FetchConfigReply { 1: i64 request, 2: i64 version, 3: binary document }
--- a/src/libalmond/wire/control_codec.cc
+++ b/src/libalmond/wire/control_codec.cc
@@ -191,6 +191,10 @@
   result.entries_digest = static_cast<std::int64_t>(message.entries_digest);
   result.entries_omitted = message.entries_omitted;
   result.alike_agents = static_cast<std::int32_t>(message.alike_agents);
+  result.evacuation_revision = ToWire(message.evacuations.revision);
+  for (const data_centre_id& name : message.evacuations.data_centres) {
+    result.evacuated_data_centres.push_back(name.Value());
+  }
   return MakeFrame(frame_type::heartbeat_reply, number, result);
 }
 
@@ -210,7 +214,12 @@
   message.entries_digest = static_cast<std::uint64_t>(encoded.entries_digest);
   message.entries_omitted = encoded.entries_omitted;
   message.alike_agents = CountFromWire(encoded.alike_agents);
-  return true;
+  message.evacuations.revision =
+      NumberFromWire<evacuation_revision>(encoded.evacuation_revision);
+  for (std::string& name : encoded.evacuated_data_centres) {
+    message.evacuations.data_centres.emplace_back(std::move(name));
+  }
+  return message.evacuations.IsOrdered();
 }
 
 frame EncodeBody(std::uint64_t number,
--- a/src/libalmond/wire/gen/control_types.cpp
+++ b/src/libalmond/wire/gen/control_types.cpp
@@ -999,6 +999,14 @@
 void HeartbeatReply::__set_alike_agents(const int32_t val) {
   this->alike_agents = val;
 }
+
+void HeartbeatReply::__set_evacuation_revision(const int64_t val) {
+  this->evacuation_revision = val;
+}
+
+void HeartbeatReply::__set_evacuated_data_centres(const std::vector<std::string> & val) {
+  this->evacuated_data_centres = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -1107,6 +1115,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuation_revision);
+          this->__isset.evacuation_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuated_data_centres.clear();
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->evacuated_data_centres.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
+            {
+              xfer += iprot->readString(this->evacuated_data_centres[_i30]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuated_data_centres = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1135,10 +1171,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryAddress> ::const_iterator _iter26;
-    for (_iter26 = this->entries.begin(); _iter26 != this->entries.end(); ++_iter26)
+    std::vector<EntryAddress> ::const_iterator _iter31;
+    for (_iter31 = this->entries.begin(); _iter31 != this->entries.end(); ++_iter31)
     {
-      xfer += (*_iter26).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1147,10 +1183,10 @@
   xfer += oprot->writeFieldBegin("takeovers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->takeovers.size()));
-    std::vector<LedgerRecord> ::const_iterator _iter27;
-    for (_iter27 = this->takeovers.begin(); _iter27 != this->takeovers.end(); ++_iter27)
+    std::vector<LedgerRecord> ::const_iterator _iter32;
+    for (_iter32 = this->takeovers.begin(); _iter32 != this->takeovers.end(); ++_iter32)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter32).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1168,6 +1204,22 @@
   xfer += oprot->writeI32(this->alike_agents);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuation_revision", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->evacuation_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated_data_centres", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated_data_centres.size()));
+    std::vector<std::string> ::const_iterator _iter33;
+    for (_iter33 = this->evacuated_data_centres.begin(); _iter33 != this->evacuated_data_centres.end(); ++_iter33)
+    {
+      xfer += oprot->writeString((*_iter33));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1182,49 +1234,59 @@
   swap(a.entries_digest, b.entries_digest);
   swap(a.entries_omitted, b.entries_omitted);
   swap(a.alike_agents, b.alike_agents);
+  swap(a.evacuation_revision, b.evacuation_revision);
+  swap(a.evacuated_data_centres, b.evacuated_data_centres);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other28) {
-  request = other28.request;
-  newest = other28.newest;
-  entries = other28.entries;
-  takeovers = other28.takeovers;
-  entries_digest = other28.entries_digest;
-  entries_omitted = other28.entries_omitted;
-  alike_agents = other28.alike_agents;
-  __isset = other28.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other29) noexcept {
-  request = other29.request;
-  newest = other29.newest;
-  entries = std::move(other29.entries);
-  takeovers = std::move(other29.takeovers);
-  entries_digest = other29.entries_digest;
-  entries_omitted = other29.entries_omitted;
-  alike_agents = other29.alike_agents;
-  __isset = other29.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other30) {
-  request = other30.request;
-  newest = other30.newest;
-  entries = other30.entries;
-  takeovers = other30.takeovers;
-  entries_digest = other30.entries_digest;
-  entries_omitted = other30.entries_omitted;
-  alike_agents = other30.alike_agents;
-  __isset = other30.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other34) {
+  request = other34.request;
+  newest = other34.newest;
+  entries = other34.entries;
+  takeovers = other34.takeovers;
+  entries_digest = other34.entries_digest;
+  entries_omitted = other34.entries_omitted;
+  alike_agents = other34.alike_agents;
+  evacuation_revision = other34.evacuation_revision;
+  evacuated_data_centres = other34.evacuated_data_centres;
+  __isset = other34.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other35) noexcept {
+  request = other35.request;
+  newest = other35.newest;
+  entries = std::move(other35.entries);
+  takeovers = std::move(other35.takeovers);
+  entries_digest = other35.entries_digest;
+  entries_omitted = other35.entries_omitted;
+  alike_agents = other35.alike_agents;
+  evacuation_revision = other35.evacuation_revision;
+  evacuated_data_centres = std::move(other35.evacuated_data_centres);
+  __isset = other35.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other36) {
+  request = other36.request;
+  newest = other36.newest;
+  entries = other36.entries;
+  takeovers = other36.takeovers;
+  entries_digest = other36.entries_digest;
+  entries_omitted = other36.entries_omitted;
+  alike_agents = other36.alike_agents;
+  evacuation_revision = other36.evacuation_revision;
+  evacuated_data_centres = other36.evacuated_data_centres;
+  __isset = other36.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other31) noexcept {
-  request = other31.request;
-  newest = other31.newest;
-  entries = std::move(other31.entries);
-  takeovers = std::move(other31.takeovers);
-  entries_digest = other31.entries_digest;
-  entries_omitted = other31.entries_omitted;
-  alike_agents = other31.alike_agents;
-  __isset = other31.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other37) noexcept {
+  request = other37.request;
+  newest = other37.newest;
+  entries = std::move(other37.entries);
+  takeovers = std::move(other37.takeovers);
+  entries_digest = other37.entries_digest;
+  entries_omitted = other37.entries_omitted;
+  alike_agents = other37.alike_agents;
+  evacuation_revision = other37.evacuation_revision;
+  evacuated_data_centres = std::move(other37.evacuated_data_centres);
+  __isset = other37.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -1237,6 +1299,8 @@
   out << ", " << "entries_digest=" << to_string(entries_digest);
   out << ", " << "entries_omitted=" << to_string(entries_omitted);
   out << ", " << "alike_agents=" << to_string(alike_agents);
+  out << ", " << "evacuation_revision=" << to_string(evacuation_revision);
+  out << ", " << "evacuated_data_centres=" << to_string(evacuated_data_centres);
   out << ")";
 }
 
@@ -1316,22 +1380,22 @@
   swap(a.__isset, b.__isset);
 }
 
-FetchConfig::FetchConfig(const FetchConfig& other32) noexcept {
-  request = other32.request;
-  __isset = other32.__isset;
+FetchConfig::FetchConfig(const FetchConfig& other38) noexcept {
+  request = other38.request;
+  __isset = other38.__isset;
 }
-FetchConfig::FetchConfig(FetchConfig&& other33) noexcept {
-  request = other33.request;
-  __isset = other33.__isset;
+FetchConfig::FetchConfig(FetchConfig&& other39) noexcept {
+  request = other39.request;
+  __isset = other39.__isset;
 }
-FetchConfig& FetchConfig::operator=(const FetchConfig& other34) noexcept {
-  request = other34.request;
-  __isset = other34.__isset;
+FetchConfig& FetchConfig::operator=(const FetchConfig& other40) noexcept {
+  request = other40.request;
+  __isset = other40.__isset;
   return *this;
 }
-FetchConfig& FetchConfig::operator=(FetchConfig&& other35) noexcept {
-  request = other35.request;
-  __isset = other35.__isset;
+FetchConfig& FetchConfig::operator=(FetchConfig&& other41) noexcept {
+  request = other41.request;
+  __isset = other41.__isset;
   return *this;
 }
 void FetchConfig::printTo(std::ostream& out) const {
@@ -1451,30 +1515,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FetchConfigReply::FetchConfigReply(const FetchConfigReply& other36) {
-  request = other36.request;
-  version = other36.version;
-  document = other36.document;
-  __isset = other36.__isset;
+FetchConfigReply::FetchConfigReply(const FetchConfigReply& other42) {
+  request = other42.request;
+  version = other42.version;
+  document = other42.document;
+  __isset = other42.__isset;
 }
-FetchConfigReply::FetchConfigReply(FetchConfigReply&& other37) noexcept {
-  request = other37.request;
-  version = other37.version;
-  document = std::move(other37.document);
-  __isset = other37.__isset;
+FetchConfigReply::FetchConfigReply(FetchConfigReply&& other43) noexcept {
+  request = other43.request;
+  version = other43.version;
+  document = std::move(other43.document);
+  __isset = other43.__isset;
 }
-FetchConfigReply& FetchConfigReply::operator=(const FetchConfigReply& other38) {
-  request = other38.request;
-  version = other38.version;
-  document = other38.document;
-  __isset = other38.__isset;
+FetchConfigReply& FetchConfigReply::operator=(const FetchConfigReply& other44) {
+  request = other44.request;
+  version = other44.version;
+  document = other44.document;
+  __isset = other44.__isset;
   return *this;
 }
-FetchConfigReply& FetchConfigReply::operator=(FetchConfigReply&& other39) noexcept {
-  request = other39.request;
-  version = other39.version;
-  document = std::move(other39.document);
-  __isset = other39.__isset;
+FetchConfigReply& FetchConfigReply::operator=(FetchConfigReply&& other45) noexcept {
+  request = other45.request;
+  version = other45.version;
+  document = std::move(other45.document);
+  __isset = other45.__isset;
   return *this;
 }
 void FetchConfigReply::printTo(std::ostream& out) const {
@@ -1681,50 +1745,50 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerClaim::LedgerClaim(const LedgerClaim& other40) {
-  request = other40.request;
-  submission = other40.submission;
-  digest = other40.digest;
-  service_name = other40.service_name;
-  task_count = other40.task_count;
-  owner = other40.owner;
-  owner_incarnation = other40.owner_incarnation;
-  deadline_ms = other40.deadline_ms;
-  __isset = other40.__isset;
+LedgerClaim::LedgerClaim(const LedgerClaim& other46) {
+  request = other46.request;
+  submission = other46.submission;
+  digest = other46.digest;
+  service_name = other46.service_name;
+  task_count = other46.task_count;
+  owner = other46.owner;
+  owner_incarnation = other46.owner_incarnation;
+  deadline_ms = other46.deadline_ms;
+  __isset = other46.__isset;
 }
-LedgerClaim::LedgerClaim(LedgerClaim&& other41) noexcept {
-  request = other41.request;
-  submission = std::move(other41.submission);
-  digest = std::move(other41.digest);
-  service_name = std::move(other41.service_name);
-  task_count = other41.task_count;
-  owner = std::move(other41.owner);
-  owner_incarnation = other41.owner_incarnation;
-  deadline_ms = other41.deadline_ms;
-  __isset = other41.__isset;
+LedgerClaim::LedgerClaim(LedgerClaim&& other47) noexcept {
+  request = other47.request;
+  submission = std::move(other47.submission);
+  digest = std::move(other47.digest);
+  service_name = std::move(other47.service_name);
+  task_count = other47.task_count;
+  owner = std::move(other47.owner);
+  owner_incarnation = other47.owner_incarnation;
+  deadline_ms = other47.deadline_ms;
+  __isset = other47.__isset;
 }
-LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other42) {
-  request = other42.request;
-  submission = other42.submission;
-  digest = other42.digest;
-  service_name = other42.service_name;
-  task_count = other42.task_count;
-  owner = other42.owner;
-  owner_incarnation = other42.owner_incarnation;
-  deadline_ms = other42.deadline_ms;
-  __isset = other42.__isset;
+LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other48) {
+  request = other48.request;
+  submission = other48.submission;
+  digest = other48.digest;
+  service_name = other48.service_name;
+  task_count = other48.task_count;
+  owner = other48.owner;
+  owner_incarnation = other48.owner_incarnation;
+  deadline_ms = other48.deadline_ms;
+  __isset = other48.__isset;
   return *this;
 }
-LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other43) noexcept {
-  request = other43.request;
-  submission = std::move(other43.submission);
-  digest = std::move(other43.digest);
-  service_name = std::move(other43.service_name);
-  task_count = other43.task_count;
-  owner = std::move(other43.owner);
-  owner_incarnation = other43.owner_incarnation;
-  deadline_ms = other43.deadline_ms;
-  __isset = other43.__isset;
+LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other49) noexcept {
+  request = other49.request;
+  submission = std::move(other49.submission);
+  digest = std::move(other49.digest);
+  service_name = std::move(other49.service_name);
+  task_count = other49.task_count;
+  owner = std::move(other49.owner);
+  owner_incarnation = other49.owner_incarnation;
+  deadline_ms = other49.deadline_ms;
+  __isset = other49.__isset;
   return *this;
 }
 void LedgerClaim::printTo(std::ostream& out) const {
@@ -1851,30 +1915,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerClaimReply::LedgerClaimReply(const LedgerClaimReply& other44) {
-  request = other44.request;
-  outcome = other44.outcome;
-  record = other44.record;
-  __isset = other44.__isset;
+LedgerClaimReply::LedgerClaimReply(const LedgerClaimReply& other50) {
+  request = other50.request;
+  outcome = other50.outcome;
+  record = other50.record;
+  __isset = other50.__isset;
 }
-LedgerClaimReply::LedgerClaimReply(LedgerClaimReply&& other45) noexcept {
-  request = other45.request;
-  outcome = other45.outcome;
-  record = std::move(other45.record);
-  __isset = other45.__isset;
+LedgerClaimReply::LedgerClaimReply(LedgerClaimReply&& other51) noexcept {
+  request = other51.request;
+  outcome = other51.outcome;
+  record = std::move(other51.record);
+  __isset = other51.__isset;
 }
-LedgerClaimReply& LedgerClaimReply::operator=(const LedgerClaimReply& other46) {
-  request = other46.request;
-  outcome = other46.outcome;
-  record = other46.record;
-  __isset = other46.__isset;
+LedgerClaimReply& LedgerClaimReply::operator=(const LedgerClaimReply& other52) {
+  request = other52.request;
+  outcome = other52.outcome;
+  record = other52.record;
+  __isset = other52.__isset;
   return *this;
 }
-LedgerClaimReply& LedgerClaimReply::operator=(LedgerClaimReply&& other47) noexcept {
-  request = other47.request;
-  outcome = other47.outcome;
-  record = std::move(other47.record);
-  __isset = other47.__isset;
+LedgerClaimReply& LedgerClaimReply::operator=(LedgerClaimReply&& other53) noexcept {
+  request = other53.request;
+  outcome = other53.outcome;
+  record = std::move(other53.record);
+  __isset = other53.__isset;
   return *this;
 }
 void LedgerClaimReply::printTo(std::ostream& out) const {
@@ -2030,38 +2094,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerFinish::LedgerFinish(const LedgerFinish& other48) {
-  request = other48.request;
-  submission = other48.submission;
-  epoch = other48.epoch;
-  state = other48.state;
-  failure = other48.failure;
-  __isset = other48.__isset;
+LedgerFinish::LedgerFinish(const LedgerFinish& other54) {
+  request = other54.request;
+  submission = other54.submission;
+  epoch = other54.epoch;
+  state = other54.state;
+  failure = other54.failure;
+  __isset = other54.__isset;
 }
-LedgerFinish::LedgerFinish(LedgerFinish&& other49) noexcept {
-  request = other49.request;
-  submission = std::move(other49.submission);
-  epoch = other49.epoch;
-  state = other49.state;
-  failure = std::move(other49.failure);
-  __isset = other49.__isset;
+LedgerFinish::LedgerFinish(LedgerFinish&& other55) noexcept {
+  request = other55.request;
+  submission = std::move(other55.submission);
+  epoch = other55.epoch;
+  state = other55.state;
+  failure = std::move(other55.failure);
+  __isset = other55.__isset;
 }
-LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other50) {
-  request = other50.request;
-  submission = other50.submission;
-  epoch = other50.epoch;
-  state = other50.state;
-  failure = other50.failure;
-  __isset = other50.__isset;
+LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other56) {
+  request = other56.request;
+  submission = other56.submission;
+  epoch = other56.epoch;
+  state = other56.state;
+  failure = other56.failure;
+  __isset = other56.__isset;
   return *this;
 }
-LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other51) noexcept {
-  request = other51.request;
-  submission = std::move(other51.submission);
-  epoch = other51.epoch;
-  state = other51.state;
-  failure = std::move(other51.failure);
-  __isset = other51.__isset;
+LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other57) noexcept {
+  request = other57.request;
+  submission = std::move(other57.submission);
+  epoch = other57.epoch;
+  state = other57.state;
+  failure = std::move(other57.failure);
+  __isset = other57.__isset;
   return *this;
 }
 void LedgerFinish::printTo(std::ostream& out) const {
@@ -2168,26 +2232,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerFinishReply::LedgerFinishReply(const LedgerFinishReply& other52) noexcept {
-  request = other52.request;
-  stored = other52.stored;
-  __isset = other52.__isset;
+LedgerFinishReply::LedgerFinishReply(const LedgerFinishReply& other58) noexcept {
+  request = other58.request;
+  stored = other58.stored;
+  __isset = other58.__isset;
 }
-LedgerFinishReply::LedgerFinishReply(LedgerFinishReply&& other53) noexcept {
-  request = other53.request;
-  stored = other53.stored;
-  __isset = other53.__isset;
+LedgerFinishReply::LedgerFinishReply(LedgerFinishReply&& other59) noexcept {
+  request = other59.request;
+  stored = other59.stored;
+  __isset = other59.__isset;
 }
-LedgerFinishReply& LedgerFinishReply::operator=(const LedgerFinishReply& other54) noexcept {
-  request = other54.request;
-  stored = other54.stored;
-  __isset = other54.__isset;
+LedgerFinishReply& LedgerFinishReply::operator=(const LedgerFinishReply& other60) noexcept {
+  request = other60.request;
+  stored = other60.stored;
+  __isset = other60.__isset;
   return *this;
 }
-LedgerFinishReply& LedgerFinishReply::operator=(LedgerFinishReply&& other55) noexcept {
-  request = other55.request;
-  stored = other55.stored;
-  __isset = other55.__isset;
+LedgerFinishReply& LedgerFinishReply::operator=(LedgerFinishReply&& other61) noexcept {
+  request = other61.request;
+  stored = other61.stored;
+  __isset = other61.__isset;
   return *this;
 }
 void LedgerFinishReply::printTo(std::ostream& out) const {
@@ -2291,26 +2355,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerRead::LedgerRead(const LedgerRead& other56) {
-  request = other56.request;
-  submission = other56.submission;
-  __isset = other56.__isset;
+LedgerRead::LedgerRead(const LedgerRead& other62) {
+  request = other62.request;
+  submission = other62.submission;
+  __isset = other62.__isset;
 }
-LedgerRead::LedgerRead(LedgerRead&& other57) noexcept {
-  request = other57.request;
-  submission = std::move(other57.submission);
-  __isset = other57.__isset;
+LedgerRead::LedgerRead(LedgerRead&& other63) noexcept {
+  request = other63.request;
+  submission = std::move(other63.submission);
+  __isset = other63.__isset;
 }
-LedgerRead& LedgerRead::operator=(const LedgerRead& other58) {
-  request = other58.request;
-  submission = other58.submission;
-  __isset = other58.__isset;
+LedgerRead& LedgerRead::operator=(const LedgerRead& other64) {
+  request = other64.request;
+  submission = other64.submission;
+  __isset = other64.__isset;
   return *this;
 }
-LedgerRead& LedgerRead::operator=(LedgerRead&& other59) noexcept {
-  request = other59.request;
-  submission = std::move(other59.submission);
-  __isset = other59.__isset;
+LedgerRead& LedgerRead::operator=(LedgerRead&& other65) noexcept {
+  request = other65.request;
+  submission = std::move(other65.submission);
+  __isset = other65.__isset;
   return *this;
 }
 void LedgerRead::printTo(std::ostream& out) const {
@@ -2416,26 +2480,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerReadReply::LedgerReadReply(const LedgerReadReply& other60) {
-  request = other60.request;
-  record = other60.record;
-  __isset = other60.__isset;
+LedgerReadReply::LedgerReadReply(const LedgerReadReply& other66) {
+  request = other66.request;
+  record = other66.record;
+  __isset = other66.__isset;
 }
-LedgerReadReply::LedgerReadReply(LedgerReadReply&& other61) noexcept {
-  request = other61.request;
-  record = std::move(other61.record);
-  __isset = other61.__isset;
+LedgerReadReply::LedgerReadReply(LedgerReadReply&& other67) noexcept {
+  request = other67.request;
+  record = std::move(other67.record);
+  __isset = other67.__isset;
 }
-LedgerReadReply& LedgerReadReply::operator=(const LedgerReadReply& other62) {
-  request = other62.request;
-  record = other62.record;
-  __isset = other62.__isset;
+LedgerReadReply& LedgerReadReply::operator=(const LedgerReadReply& other68) {
+  request = other68.request;
+  record = other68.record;
+  __isset = other68.__isset;
   return *this;
 }
-LedgerReadReply& LedgerReadReply::operator=(LedgerReadReply&& other63) noexcept {
-  request = other63.request;
-  record = std::move(other63.record);
-  __isset = other63.__isset;
+LedgerReadReply& LedgerReadReply::operator=(LedgerReadReply&& other69) noexcept {
+  request = other69.request;
+  record = std::move(other69.record);
+  __isset = other69.__isset;
   return *this;
 }
 void LedgerReadReply::printTo(std::ostream& out) const {
@@ -2539,26 +2603,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other64) {
-  request = other64.request;
-  leader_address = other64.leader_address;
-  __isset = other64.__isset;
+NotLeader::NotLeader(const NotLeader& other70) {
+  request = other70.request;
+  leader_address = other70.leader_address;
+  __isset = other70.__isset;
 }
-NotLeader::NotLeader(NotLeader&& other65) noexcept {
-  request = other65.request;
-  leader_address = std::move(other65.leader_address);
-  __isset = other65.__isset;
+NotLeader::NotLeader(NotLeader&& other71) noexcept {
+  request = other71.request;
+  leader_address = std::move(other71.leader_address);
+  __isset = other71.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other66) {
-  request = other66.request;
-  leader_address = other66.leader_address;
-  __isset = other66.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other72) {
+  request = other72.request;
+  leader_address = other72.leader_address;
+  __isset = other72.__isset;
   return *this;
 }
-NotLeader& NotLeader::operator=(NotLeader&& other67) noexcept {
-  request = other67.request;
-  leader_address = std::move(other67.leader_address);
-  __isset = other67.__isset;
+NotLeader& NotLeader::operator=(NotLeader&& other73) noexcept {
+  request = other73.request;
+  leader_address = std::move(other73.leader_address);
+  __isset = other73.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
--- a/src/libalmond/wire/gen/control_types.h
+++ b/src/libalmond/wire/gen/control_types.h
@@ -404,7 +404,7 @@
 std::ostream& operator<<(std::ostream& out, const EntryAddress& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : request(false), newest(false), entries(false), takeovers(false), entries_digest(false), entries_omitted(false), alike_agents(false) {}
+  _HeartbeatReply__isset() : request(false), newest(false), entries(false), takeovers(false), entries_digest(false), entries_omitted(false), alike_agents(false), evacuation_revision(false), evacuated_data_centres(false) {}
   bool request :1;
   bool newest :1;
   bool entries :1;
@@ -412,6 +412,8 @@
   bool entries_digest :1;
   bool entries_omitted :1;
   bool alike_agents :1;
+  bool evacuation_revision :1;
+  bool evacuated_data_centres :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -426,7 +428,8 @@
                    newest(0),
                    entries_digest(0),
                    entries_omitted(0),
-                   alike_agents(0) {
+                   alike_agents(0),
+                   evacuation_revision(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -437,6 +440,8 @@
   int64_t entries_digest;
   bool entries_omitted;
   int32_t alike_agents;
+  int64_t evacuation_revision;
+  std::vector<std::string>  evacuated_data_centres;
 
   _HeartbeatReply__isset __isset;
 
@@ -454,6 +459,10 @@
 
   void __set_alike_agents(const int32_t val);
 
+  void __set_evacuation_revision(const int64_t val);
+
+  void __set_evacuated_data_centres(const std::vector<std::string> & val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(request == rhs.request))
@@ -470,6 +479,10 @@
       return false;
     if (!(alike_agents == rhs.alike_agents))
       return false;
+    if (!(evacuation_revision == rhs.evacuation_revision))
+      return false;
+    if (!(evacuated_data_centres == rhs.evacuated_data_centres))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
