Evacuations: no starts in an evacuated data centre

Agents refuse starts, queued ones included, as not run; agents with slots void their grants. Entries leave evacuated data centres out of placement and of the room that admission counts, also where the agent is cut off from the leader, and withdraw what waits there. A job that fits only there is refused with a retry time, not as too large. Runs end by themselves.

Announcements' remaining cold time reaches the entries, which count a cold endpoint as slower and forget its failures afterwards. almondctl evacuate.

--- a/src/libalmond/controllers/agent/agent_controller.cc
+++ b/src/libalmond/controllers/agent/agent_controller.cc
@@ -34,9 +34,9 @@
             return std::move(policy);
           }()),
       endpoint_(clock) {
-  for (const char* reason :
-       {"grant-expired", "no-endpoint", "table-full", "no-resources",
-        "exceeds-endpoint", "long-kinds", "deadline", "fenced", "known"}) {
+  for (const char* reason : {"grant-expired", "no-endpoint", "table-full",
+                             "no-resources", "exceeds-endpoint", "long-kinds",
+                             "deadline", "fenced", "known", "evacuated"}) {
     metrics_.Counter("almond_agent_refusals_total", Label("reason", reason));
   }
 }
@@ -148,6 +148,7 @@
 }
 
 std::string agent_controller::RefusalReason(const start_message& start) const {
+  if (evacuated_) return "evacuated";
   if (!endpoint_.Present()) return "no-endpoint";
   if (start.time_left <= milliseconds(0)) return "deadline";
   if (starts_.Check(start.name, start.epoch) ==
@@ -312,13 +313,20 @@
   ApplyEndpointState();
 }
 
+void agent_controller::SetEvacuated(bool evacuated) {
+  if (std::exchange(evacuated_, evacuated) == evacuated) return;
+  if (evacuated) slots_.Revoke();
+  ApplyEndpointState();
+}
+
 void agent_controller::ApplyEndpointState() {
   if (endpoint_.Present()) {
     const endpoint_announcement& last = endpoint_.LastAnnouncement();
     slots_.SetCapacity(last.slots);
     suspension_.SetEndpoint(last.controls, last.cpu_milli, last.memory_mib);
   }
-  slots_.SetGranting(endpoint_.Present() && !endpoint_.Leaving() && !leaving_);
+  slots_.SetGranting(endpoint_.Present() && !endpoint_.Leaving() && !leaving_ &&
+                     !evacuated_);
   Announce();
   ScheduleFlush();
 }
@@ -328,7 +336,7 @@
   message.agent = self_.agent;
   message.incarnation = self_.incarnation;
   message.data_centre = self_.data_centre;
-  message.leaving = leaving_ || endpoint_.Leaving();
+  message.leaving = leaving_ || evacuated_ || endpoint_.Leaving();
   message.version = hooks_.version();
   if (!endpoint_.Present()) return message;
   const endpoint_announcement& last = endpoint_.LastAnnouncement();
--- a/src/libalmond/controllers/agent/agent_controller.h
+++ b/src/libalmond/controllers/agent/agent_controller.h
@@ -100,6 +100,10 @@
   bool OnEndpointLeaving();
   /// Starts the shutdown of the agent: no more grants are issued.
   void Leave();
+  /// While the data centre is evacuated, no grants are issued, those that were
+  /// issued are void, and entries are told that the endpoint leaves; running
+  /// tasks continue.
+  void SetEvacuated(bool evacuated);
 
   /// Checks the timeout of the endpoint, deadlines and retention times, and
   /// requests a call of Flush, which ends expired leases; called every 100 ms.
@@ -163,6 +167,7 @@
   std::vector<std::pair<link_id, answer_message>> answers_;
   bool flush_scheduled_ = false;
   bool leaving_ = false;
+  bool evacuated_ = false;
   steady_time leave_time_;
   steady_time last_end_;
 };
--- a/src/libalmond/controllers/agent/run_controller.cc
+++ b/src/libalmond/controllers/agent/run_controller.cc
@@ -37,6 +37,7 @@
     OnRestart("endpoint announced a newer incarnation");
   }
   endpoint_ = announced;
+  cold_until_ = clock_.SteadyNow() + announced.cold_left;
   present_ = true;
   announced_ = true;
   if (!changed) return;
@@ -58,6 +59,12 @@
   NotifyChange();
 }
 
+void run_controller::SetEvacuated(bool evacuated) {
+  if (std::exchange(evacuated_, evacuated) == evacuated) return;
+  if (evacuated) RefuseQueued("evacuated");
+  NotifyChange();
+}
+
 void run_controller::Start(link_id link, const run_start& start) {
   if (const char* cause = Refusal(start)) {
     Refuse(link, start, cause);
@@ -152,6 +159,7 @@
 }
 
 const char* run_controller::Refusal(const run_start& start) const {
+  if (evacuated_) return "evacuated";
   if (!Accepting()) return "not accepting";
   const auto now = static_cast<std::uint64_t>(
       Milliseconds(clock_.SteadyNow().time_since_epoch()));
@@ -531,6 +539,7 @@
 bool run_controller::Accepting() const {
   return present_ && announced_ && lease_established_ &&
          !foreign_runs_listed_ && !endpoint_.leaving && !draining_ &&
+         !evacuated_ &&
          clock_.SteadyNow() - last_answered_renewal_ < kLeaseExtensionTimeout;
 }
 
@@ -548,6 +557,8 @@
         std::max(state.waiting_priority, queued.start.priority);
   }
   state.accepting = Accepting();
+  state.cold_left = std::chrono::ceil<milliseconds>(
+      std::max(duration(), cold_until_ - clock_.SteadyNow()));
   state.timestamp = agent_timestamp(static_cast<std::uint64_t>(
       Milliseconds(clock_.SteadyNow().time_since_epoch())));
   return state;
--- a/src/libalmond/controllers/agent/run_controller.h
+++ b/src/libalmond/controllers/agent/run_controller.h
@@ -30,6 +30,8 @@
   std::uint64_t sequence = 0;
   resources total;
   bool leaving = false;
+  /// Time for which it remains slow after its start.
+  milliseconds cold_left{0};
 };
 
 /// Answer to a start request.
@@ -168,6 +170,9 @@
   void OnLinkClosed(link_id link);
   /// Refuses all further starts.
   void StopAccepting() { draining_ = true; }
+  /// While the endpoint's data centre is evacuated, starts are refused, also
+  /// those that are queued; runs continue to their end.
+  void SetEvacuated(bool evacuated);
   /// Called every kTickPeriod.
   void Tick();
 
@@ -259,11 +264,13 @@
   decision_log& log_;
   hooks hooks_;
   leased_endpoint endpoint_;
+  steady_time cold_until_;
   bool present_ = false;
   /// The current incarnation has announced itself; otherwise endpoint_ holds
   /// the resources and the state of the former one.
   bool announced_ = false;
   bool draining_ = false;
+  bool evacuated_ = false;
   std::uint64_t fence_;
   /// Rises whenever the endpoint is lost or has restarted; callbacks of an
   /// older epoch are ignored.
--- a/src/libalmond/controllers/entry/agent_record.h
+++ b/src/libalmond/controllers/entry/agent_record.h
@@ -24,6 +24,7 @@
   static constexpr std::size_t kMaxAbandoned = 4096;
 
   announce_message announced;
+  bool evacuated = false;       ///< its data centre is evacuated
   std::optional<link_id> link;  ///< empty while disconnected
   link_id newest_link;          ///< most recently accepted connection
   steady_time disconnected_at;  ///< when the last connection ended
@@ -50,7 +51,7 @@
   }
   /// @returns true if tasks may be sent to the agent
   bool Usable() const {
-    return link && !announced.leaving && announced.slots > 0 &&
+    return link && !evacuated && !announced.leaving && announced.slots > 0 &&
            !announced.service.Empty();
   }
   /// @returns true if the whole endpoint is large enough; an announced size of
--- a/src/libalmond/controllers/entry/dispatch_controller.h
+++ b/src/libalmond/controllers/entry/dispatch_controller.h
@@ -16,6 +16,7 @@
 #include "libalmond/controllers/entry/service_rate.h"
 #include "libalmond/controllers/entry/task_queue.h"
 #include "libalmond/core/dispatch_messages.h"
+#include "libalmond/core/evacuations.h"
 #include "libalmond/core/metrics.h"
 
 namespace almond {
@@ -94,6 +95,8 @@
 
   void OnMessage(link_id agent, const agent_message& message);
   void OnAgentClosed(link_id agent);
+  /// Starts no tasks in evacuated data centres, whatever their agents grant.
+  void SetEvacuations(const evacuation_list& list);
   /// Does the periodic work: ends tasks at their deadlines or timeouts,
   /// dispatches queued tasks, sends demand and batched acknowledgements, and
   /// removes stale agents. Called several times per second.
@@ -204,6 +207,7 @@
   std::map<service_id, std::unique_ptr<service_state>> services_;
   std::map<agent_id, agent_record> agents_;
   std::map<link_id, agent_id> links_;
+  evacuation_list evacuations_;
   in_flight_table in_flight_;
   std::map<std::uint64_t, pending_query> queries_;
   std::uint64_t last_query_ = 0;
--- a/src/libalmond/controllers/entry/dispatch_messages.cc
+++ b/src/libalmond/controllers/entry/dispatch_messages.cc
@@ -40,6 +40,7 @@
     agent.unfit_until = steady_time();
   }
   agent.announced = message;
+  agent.evacuated = evacuations_.Contains(message.data_centre);
   agent.link = link;
   links_[link] = message.agent;
   if (before != message.service || !agent.Usable()) {
@@ -63,6 +64,14 @@
   if (first) SendDemand(message.service);
 }
 
+void dispatch_controller::SetEvacuations(const evacuation_list& list) {
+  evacuations_ = list;
+  for (auto& [id, agent] : agents_) {
+    agent.evacuated = evacuations_.Contains(agent.announced.data_centre);
+    if (agent.evacuated && agent.link) ReturnGrants(*agent.link, UINT32_MAX);
+  }
+}
+
 void dispatch_controller::OnGrant(link_id link, const grant_message& message) {
   metrics_.grant.Add();
   const agent_record* agent = FindAgent(link);
--- a/src/libalmond/controllers/entry/endpoint_pool.cc
+++ b/src/libalmond/controllers/entry/endpoint_pool.cc
@@ -4,6 +4,17 @@
 #include <cmath>
 
 namespace almond {
+namespace {
+
+/// @returns the mean on a logarithmic scale, since estimates are wrong by
+///   factors
+double Average(double earlier, double newest) {
+  constexpr double kWeight = endpoint_pool::kSlownessWeight;
+  return std::exp((1 - kWeight) * std::log(earlier) +
+                  kWeight * std::log(newest));
+}
+
+}  // namespace
 
 endpoint_pool::endpoint_pool(const clock_interface& clock,
                              std::mt19937_64& random,
@@ -20,6 +31,10 @@
     const auto learned = slowness_.find(state.endpoint);
     if (learned != slowness_.end()) endpoint.slowness = learned->second;
   }
+  // Failures of a cold endpoint say nothing about the time after it.
+  const bool was_cold = endpoint.state.cold_left > milliseconds(0);
+  if (was_cold && state.cold_left == milliseconds(0)) endpoint.failure_rate = 0;
+  endpoint.cold_until = clock_.SteadyNow() + state.cold_left;
   endpoint.state = state;
   while (!endpoint.unreported.empty() &&
          endpoint.unreported.front().order <= state.orders_seen) {
@@ -52,8 +67,7 @@
   double best_time = 0;
   bool best_avoided = false;
   for (auto& [key, endpoint] : endpoints_) {
-    if (!endpoint.state.accepting ||
-        endpoint.state.service != request.service) {
+    if (endpoint.state.service != request.service || !Accepts(endpoint)) {
       continue;
     }
     if (may_wait ? !MayQueueAt(endpoint, request)
@@ -88,7 +102,7 @@
   if (IsSuspect(endpoint)) endpoint.last_probe = clock_.SteadyNow();
   const std::uint64_t order = ++last_order_[key.link];
   endpoint.unreported.push_back({order, needed});
-  endpoint.runs[run] = {clock_.SteadyNow(), estimate};
+  endpoint.runs[run] = {clock_.SteadyNow(), estimate, IsCold(endpoint)};
   return {order, endpoint.state.timestamp};
 }
 
@@ -103,13 +117,15 @@
   if (end.kind == run_end_kind::done) {
     const double ratio = static_cast<double>(end.ran.count() + 1) /
                          static_cast<double>(placed.estimate.count() + 1);
-    // Averaged on a logarithmic scale, since estimates are wrong by factors.
     // Bounded, since a single straggler says little about its endpoint.
     const double bounded = std::clamp(ratio, 0.25, 8.0);
-    endpoint.slowness =
-        std::exp((1 - kSlownessWeight) * std::log(endpoint.slowness) +
-                 kSlownessWeight * std::log(bounded));
-    slowness_[key.endpoint] = endpoint.slowness;
+    if (placed.cold) {
+      cold_factor_ =
+          std::max(1.0, Average(cold_factor_, bounded / endpoint.slowness));
+    } else {
+      endpoint.slowness = Average(endpoint.slowness, bounded);
+      slowness_[key.endpoint] = endpoint.slowness;
+    }
     endpoint.failure_rate *= 1 - kFailureWeight;
   } else if (end.kind == run_end_kind::failed) {
     RecordFault(key);
@@ -132,18 +148,33 @@
       });
 }
 
+bool endpoint_pool::FitsOutsideEvacuated(const service_id& service,
+                                         const resources& needed) const {
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
+        const endpoint_state& state = entry.second.state;
+        return state.service == service && state.total.Covers(needed) &&
+               !evacuations_.Contains(state.data_centre);
+      });
+}
+
+bool endpoint_pool::IsEvacuated(const endpoint_key& key) const {
+  const auto found = endpoints_.find(key);
+  return found != endpoints_.end() &&
+         evacuations_.Contains(found->second.state.data_centre);
+}
+
 bool endpoint_pool::HasEndpoint(const service_id& service) const {
-  return std::any_of(endpoints_.begin(), endpoints_.end(),
-                     [&](const auto& entry) {
-                       return entry.second.state.service == service &&
-                              entry.second.state.accepting;
-                     });
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
+        return entry.second.state.service == service && Accepts(entry.second);
+      });
 }
 
 std::int64_t endpoint_pool::TotalCpu(const service_id& service) const {
   std::int64_t total = 0;
   for (const auto& [key, endpoint] : endpoints_) {
-    if (endpoint.state.service == service && endpoint.state.accepting) {
+    if (endpoint.state.service == service && Accepts(endpoint)) {
       total += endpoint.state.total.cpu_milli;
     }
   }
@@ -153,7 +184,7 @@
 std::int64_t endpoint_pool::UnusedCpu(const service_id& service) const {
   std::int64_t unused = 0;
   for (const auto& [key, endpoint] : endpoints_) {
-    if (endpoint.state.service == service && endpoint.state.accepting) {
+    if (endpoint.state.service == service && Accepts(endpoint)) {
       unused += std::max<std::int64_t>(0, UnusedResources(endpoint).cpu_milli);
     }
   }
@@ -180,9 +211,7 @@
   std::size_t known = 0;
   std::size_t suspects = 0;
   for (const auto& [key, endpoint] : endpoints_) {
-    if (endpoint.state.service != service || !endpoint.state.accepting) {
-      continue;
-    }
+    if (endpoint.state.service != service || !Accepts(endpoint)) continue;
     ++known;
     if (IsSuspect(endpoint)) ++suspects;
   }
@@ -194,9 +223,11 @@
   if (endpoint.failure_rate > kMaxFailureRatio) return true;
   const steady_time now = clock_.SteadyNow();
   const auto overdue = static_cast<std::size_t>(std::count_if(
-      endpoint.runs.begin(), endpoint.runs.end(), [now](const auto& entry) {
+      endpoint.runs.begin(), endpoint.runs.end(),
+      [now, this](const auto& entry) {
         const placed_run& run = entry.second;
-        return now - run.placed > run.estimate * kOverdueFactor;
+        return now - run.placed >
+               run.estimate * (kOverdueFactor * (run.cold ? cold_factor_ : 1));
       }));
   return overdue >= kMinOverdue &&
          static_cast<double>(overdue) >
@@ -213,8 +244,10 @@
       0, request.needed.cpu_milli - UnusedResources(endpoint).cpu_milli);
   const double wait = static_cast<double>(kTurnoverTime.count() * missing) /
                       static_cast<double>(endpoint.state.total.cpu_milli + 1);
-  return static_cast<double>(request.estimate.count()) * endpoint.slowness +
-         remote + wait;
+  const double slowness =
+      endpoint.slowness * (IsCold(endpoint) ? cold_factor_ : 1);
+  return static_cast<double>(request.estimate.count()) * slowness + remote +
+         wait;
 }
 
 }  // namespace almond
--- a/src/libalmond/controllers/entry/endpoint_pool.h
+++ b/src/libalmond/controllers/entry/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libalmond/core/clock.h"
+#include "libalmond/core/evacuations.h"
 #include "libalmond/core/run_messages.h"
 
 namespace almond {
@@ -52,6 +53,9 @@
   /// overdue runs and they exceed the share kMaxOverdueRatio of its runs.
   static constexpr std::size_t kMinOverdue = 2;
   static constexpr double kMaxOverdueRatio = 0.5;
+  /// Run time at an endpoint that has started shortly before, as a multiple of
+  /// its later run time; replaced by what is measured.
+  static constexpr double kInitialColdFactor = 1.5;
   /// Limit of the share of a service's endpoints that are avoided. If more of
   /// them look faulty, the work is the more likely cause.
   static constexpr double kMaxAvoidedRatio = 0.5;
@@ -73,6 +77,11 @@
 
   void Update(link_id link, const endpoint_state& state);
   void RemoveLink(link_id link);
+  /// Excludes the endpoints of evacuated data centres, whatever their agents
+  /// report.
+  void SetEvacuations(const evacuation_list& list) { evacuations_ = list; }
+  /// @returns true if the endpoint's data centre is evacuated
+  bool IsEvacuated(const endpoint_key& key) const;
 
   /// @returns the best endpoint with enough free resources, or nothing
   std::optional<endpoint_key> ChooseEndpoint(const placement_request& request);
@@ -93,6 +102,10 @@
   /// @returns true if an endpoint of the service would be large enough when
   ///   idle
   bool FitsWhenIdle(const service_id& service, const resources& needed) const;
+  /// @returns true if an endpoint of the service would be large enough when
+  ///   idle and its data centre is not evacuated
+  bool FitsOutsideEvacuated(const service_id& service,
+                            const resources& needed) const;
   /// @returns true if the service has an accepting endpoint
   bool HasEndpoint(const service_id& service) const;
   /// @returns CPU of all accepting endpoints of the service, in thousandths of
@@ -107,6 +120,7 @@
   struct placed_run {
     steady_time placed;
     milliseconds estimate{0};
+    bool cold = false;  ///< placed while the endpoint was cold
   };
   struct sent_order {
     std::uint64_t order = 0;
@@ -118,11 +132,20 @@
     double slowness = 1;  ///< run time as a multiple of the estimate
     double failure_rate = 0;
     std::optional<steady_time> last_probe;
+    steady_time cold_until;
     std::map<run_key, placed_run> runs;
   };
 
   std::optional<endpoint_key> ChooseBest(const placement_request& request,
                                          bool may_wait);
+  /// @returns true if tasks may be placed at the endpoint
+  bool Accepts(const endpoint_record& endpoint) const {
+    return endpoint.state.accepting &&
+           !evacuations_.Contains(endpoint.state.data_centre);
+  }
+  bool IsCold(const endpoint_record& endpoint) const {
+    return clock_.SteadyNow() < endpoint.cold_until;
+  }
   resources UnusedResources(const endpoint_record& endpoint) const;
   /// @returns true if a start may queue at the endpoint's agent
   bool MayQueueAt(const endpoint_record& endpoint,
@@ -137,8 +160,10 @@
   const clock_interface& clock_;
   std::mt19937_64& random_;
   data_centre_id own_data_centre_;
+  evacuation_list evacuations_;
   std::map<endpoint_key, endpoint_record> endpoints_;
   std::map<link_id, std::uint64_t> last_order_;
+  double cold_factor_ = kInitialColdFactor;
   /// Measured slowness, kept when the links to an endpoint end.
   std::map<endpoint_id, double> slowness_;
 };
--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -143,6 +143,10 @@
       return job_answer{job_outcome::unavailable,
                         refusal_reason::exceeds_capacity, std::nullopt};
     }
+    if (!endpoints_.FitsOutsideEvacuated(rule.service, plan.needed)) {
+      return job_answer{job_outcome::unavailable, refusal_reason::no_endpoint,
+                        kDefaultRetryAfter};
+    }
   }
   return admission_.Check(request, critical_path, ServiceBacklog(rule.service));
 }
@@ -167,6 +171,21 @@
   WithdrawForFreeResources();
 }
 
+void parallel_job_controller::OnEvacuations() {
+  // Withdraw may end runs at once, which changes waiting_orders_.
+  const std::set<waiting_task> orders = waiting_orders_;
+  for (const waiting_task& waiting : orders) {
+    job* current = FindJob(waiting.job);
+    if (current == nullptr) continue;
+    const task& ordered = current->steps[waiting.step].tasks[waiting.index];
+    if (ordered.phase == task_phase::placed && ordered.waits_at_agent &&
+        !ordered.withdrawal_sent && endpoints_.IsEvacuated(ordered.place)) {
+      Withdraw(*current, waiting.step, waiting.index);
+    }
+  }
+  Dispatch();
+}
+
 void parallel_job_controller::OnRunEnd(link_id link, const run_end& end) {
   const endpoint_key place{link, end.endpoint};
   endpoints_.OnRunEnd(place, end);
--- a/src/libalmond/controllers/entry/parallel_job_controller.h
+++ b/src/libalmond/controllers/entry/parallel_job_controller.h
@@ -71,6 +71,9 @@
   void RemoveCaller(const job_id& job, caller_id caller);
 
   void OnEndpointState(link_id link, const endpoint_state& state);
+  /// To be called after endpoint_pool::SetEvacuations. Withdraws starts that
+  /// wait in evacuated data centres and places them elsewhere.
+  void OnEvacuations();
   void OnRunEnd(link_id link, const run_end& end);
   void OnLinkClosed(link_id link);
   /// Called every kTickPeriod.
--- a/src/libalmond/core/run_messages.h
+++ b/src/libalmond/core/run_messages.h
@@ -81,8 +81,9 @@
   /// Free resources. The cores that waiting starts need are deducted, so that
   /// `cpu_milli` may be negative.
   resources unused;
-  /// False if the endpoint or agent is leaving, the endpoint is gone, has no
-  /// lease or lists runs that this agent incarnation did not start.
+  /// False if the endpoint or agent is leaving, its data centre is evacuated,
+  /// or the endpoint is gone, has no lease or lists runs that this agent
+  /// incarnation did not start.
   bool accepting = false;
   agent_timestamp timestamp;
   /// Highest `order` of this link that `unused` takes into account.
@@ -90,6 +91,8 @@
   std::uint32_t waiting = 0;  ///< starts of all links that wait for resources
   /// Lowest priority, that is the largest value, among the waiting starts.
   std::uint32_t waiting_priority = 0;
+  /// Time for which the endpoint remains slow after its start.
+  milliseconds cold_left{0};
 };
 
 /// Agent to entry: reports the end of a run.
--- a/src/libalmond/operator_commands/almondctl.cc
+++ b/src/libalmond/operator_commands/almondctl.cc
@@ -26,6 +26,7 @@
       {"config history", {ConfigHistory, true}},
       {"config diff", {ConfigDiff, true}},
       {"status", {Status, true}},
+      {"evacuate", {Evacuate, true}},
       {"report", {Report, false}},
       {"drain", {Drain, false}},
       {"submit", {Submit, false}}};
--- a/src/libalmond/operator_commands/command_spec.cc
+++ b/src/libalmond/operator_commands/command_spec.cc
@@ -73,11 +73,18 @@
                              "the service's default_timeout_ms"};
   const flag_spec job = {"job", flag_type::text, "FILE|-",
                          "job (JSON); - reads standard input", kRequired};
+  const flag_spec data_centre = {"data-centre", flag_type::text, "NAME",
+                                 "data centre to evacuate", kRequired};
+  const flag_spec withdraw = {"withdraw", flag_type::none, "",
+                              "take the data centre back", "off"};
   return {
       {"status",
-       "show processes by configuration version, outdated processes, and "
-       "replicas",
+       "show processes by configuration version, outdated processes, replicas "
+       "and evacuated data centres",
        {}},
+      {"evacuate",
+       "start no more tasks in a data centre; running ones end by themselves",
+       {data_centre, withdraw}},
       {"report",
        "show the response times, goodput and wait times of running entries",
        {entries, interval}},
--- a/src/libalmond/operator_commands/control_api_client.h
+++ b/src/libalmond/operator_commands/control_api_client.h
@@ -37,7 +37,7 @@
       : context_(context), controls_(std::move(controls)) {}
 
   /// Sends a request and resends it after a lost answer. The request must
-  /// therefore be a read or carry a change id.
+  /// therefore be a read or idempotent, as a change with a change id is.
   control_answer Call(const http_request& request);
 
  private:
--- a/src/libalmond/operator_commands/process_commands.cc
+++ b/src/libalmond/operator_commands/process_commands.cc
@@ -53,6 +53,16 @@
   }
 }
 
+void PrintEvacuations(std::ostream& out, const json& evacuations) {
+  const json& names = Member(evacuations, "data_centres");
+  if (!names.is_array() || names.empty()) return;
+  out << "evacuated:";
+  for (const json& name : names) {
+    out << " " << (name.is_string() ? name.get<std::string>() : "?");
+  }
+  out << ", revision " << NumberMember(evacuations, "revision") << "\n";
+}
+
 void PrintStatus(std::ostream& out, const json& body) {
   const std::uint64_t newest = NumberMember(body, "newest");
   const json& processes = Member(body, "processes");
@@ -77,6 +87,7 @@
     }
     PrintLagging(out, processes, newest);
   }
+  PrintEvacuations(out, Member(body, "evacuations"));
   const json& replicas = Member(body, "replicas");
   if (replicas.is_array()) PrintReplicas(out, replicas);
 }
@@ -149,6 +160,23 @@
       [&](const json& body) { PrintStatus(context.out, body); });
 }
 
+exit_code Evacuate(const command_line& line, const operator_context& context) {
+  const std::string name = line.Text("data-centre");
+  if (name.empty() || !IsPathSegment(name)) {
+    context.err << "--data-centre: expected lower-case letters, digits and "
+                   "hyphens\n";
+    return exit_code::usage;
+  }
+  const bool withdraw = line.Has("withdraw");
+  control_api_client client(context, line.Addresses("control"));
+  const control_answer answer = client.Call(
+      {withdraw ? "DELETE" : "PUT", "/v1/evacuations/" + name, "", {}, {}});
+  return PrintControlAnswer(line, context, answer, [&](const json& body) {
+    context.out << name << (withdraw ? " is taken back" : " is evacuated")
+                << ", revision " << NumberMember(body, "revision") << "\n";
+  });
+}
+
 exit_code Report(const command_line& line, const operator_context& context) {
   const milliseconds interval(static_cast<milliseconds::rep>(
       std::min(line.Number("interval", kDefaultInterval), kMaxInterval)));
--- a/src/libalmond/operator_commands/process_commands.h
+++ b/src/libalmond/operator_commands/process_commands.h
@@ -10,6 +10,8 @@
 /// Counts the processes at the newest configuration version and lists those
 /// with an older one.
 exit_code Status(const command_line& line, const operator_context& context);
+/// Evacuates a data centre, or takes it back with --withdraw.
+exit_code Evacuate(const command_line& line, const operator_context& context);
 /// Prints the report on entries: response time, service at the peak, and wait
 /// of short and of all work.
 exit_code Report(const command_line& line, const operator_context& context);
--- a/src/libalmond/processes/agent_control.cc
+++ b/src/libalmond/processes/agent_control.cc
@@ -4,6 +4,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/config_report.h"
+#include "libalmond/processes/evacuation_report.h"
 
 namespace almond {
 
@@ -65,6 +66,9 @@
                            const std::string& document) {
     config_.ApplyIfNewer(version, document, config_source::leader);
   };
+  hooks.on_evacuations = [this](const evacuation_list& list) {
+    OnEvacuations(list);
+  };
   return hooks;
 }
 
@@ -90,6 +94,12 @@
   agent_.SetEntries(addresses);
 }
 
+void agent_control::OnEvacuations(const evacuation_list& list) {
+  if (!evacuations_.ApplyIfNewer(list)) return;
+  ReportEvacuations(list, agent_.Metrics());
+  agent_.SetEvacuated(evacuations_.IsEvacuated(settings_.data_centre));
+}
+
 void agent_control::OnConfig() {
   LOG(INFO) << "configuration version " << config_.Version()
             << " is in force, digest " << config_.Digest();
--- a/src/libalmond/processes/agent_control.h
+++ b/src/libalmond/processes/agent_control.h
@@ -2,6 +2,7 @@
 #define ALMOND_PROCESSES_AGENT_CONTROL_H_
 
 #include "libalmond/controllers/config_holder.h"
+#include "libalmond/controllers/evacuation_holder.h"
 #include "libalmond/processes/agent_process.h"
 #include "libalmond/processes/control_client_link.h"
 
@@ -25,10 +26,12 @@
   heartbeat_message Heartbeat() const;
   void OnEntries(const std::vector<entry_address>& entries);
   void OnConfig();
+  void OnEvacuations(const evacuation_list& list);
 
   agent_settings settings_;
   agent_process& agent_;
   config_holder config_;
+  evacuation_holder evacuations_;
   control_client_link control_;
 };
 
--- a/src/libalmond/processes/agent_process.h
+++ b/src/libalmond/processes/agent_process.h
@@ -83,6 +83,9 @@
     links_.Send(link, message);
   }
 
+  /// See agent_controller::SetEvacuated.
+  void SetEvacuated(bool evacuated) { controller_.SetEvacuated(evacuated); }
+
   const socket_address& HttpAddress() const { return http_.Address(); }
   incarnation_id Incarnation() const { return incarnation_; }
   metrics_registry& Metrics() { return metrics_; }
--- a/src/libalmond/processes/entry_control.cc
+++ b/src/libalmond/processes/entry_control.cc
@@ -4,6 +4,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/config_report.h"
+#include "libalmond/processes/evacuation_report.h"
 
 namespace almond {
 
@@ -80,6 +81,11 @@
                            const std::string& document) {
     config_.ApplyIfNewer(version, document, config_source::leader);
   };
+  hooks.on_evacuations = [this](const evacuation_list& list) {
+    if (!evacuations_.ApplyIfNewer(list)) return;
+    ReportEvacuations(list, entry_.Metrics());
+    entry_.SetEvacuations(list);
+  };
   return hooks;
 }
 
--- a/src/libalmond/processes/entry_control.h
+++ b/src/libalmond/processes/entry_control.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "libalmond/controllers/config_holder.h"
+#include "libalmond/controllers/evacuation_holder.h"
 #include "libalmond/processes/control_client_link.h"
 #include "libalmond/processes/entry_process.h"
 
@@ -36,6 +37,7 @@
   entry_settings settings_;
   entry_process& entry_;
   config_holder config_;
+  evacuation_holder evacuations_;
   control_client_link control_;
 };
 
--- a/src/libalmond/processes/entry_process.h
+++ b/src/libalmond/processes/entry_process.h
@@ -76,6 +76,11 @@
   /// @param version announced to the agents
   void SetConfig(data_centre_config config, config_version version = {});
 
+  /// See dispatch_controller::SetEvacuations.
+  void SetEvacuations(const evacuation_list& list) {
+    dispatch_.SetEvacuations(list);
+  }
+
   /// Sends a message to one agent, such as a configuration.
   void SendToAgent(link_id link, const entry_message& message) {
     links_.Send(link, message);
--- a/src/libalmond/processes/job_entry_process.cc
+++ b/src/libalmond/processes/job_entry_process.cc
@@ -2,6 +2,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/daemon_log.h"
+#include "libalmond/processes/evacuation_report.h"
 
 namespace almond {
 
@@ -104,6 +105,9 @@
                            const std::string& document) {
     OnConfig(version, document);
   };
+  hooks.on_evacuations = [this](const evacuation_list& list) {
+    OnEvacuations(list);
+  };
   return hooks;
 }
 
@@ -220,6 +224,13 @@
       .Set(static_cast<double>(routes_.Version().Value()));
 }
 
+void job_entry_process::OnEvacuations(const evacuation_list& list) {
+  if (!evacuations_.ApplyIfNewer(list)) return;
+  ReportEvacuations(list, log_, metrics_);
+  endpoints_.SetEvacuations(list);
+  jobs_.OnEvacuations();
+}
+
 void job_entry_process::Tick() {
   jobs_.Tick();
   if (routes_.Fresh() != was_fresh_) {
--- a/src/libalmond/processes/job_entry_process.h
+++ b/src/libalmond/processes/job_entry_process.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libalmond/controllers/entry/parallel_job_controller.h"
+#include "libalmond/controllers/evacuation_holder.h"
 #include "libalmond/controllers/route_holder.h"
 #include "libalmond/core/decision_log.h"
 #include "libalmond/filters/job_filters.h"
@@ -94,6 +95,7 @@
   void OnMessage(link_id link, const agent_run_message& message);
   void OnConfig(config_version version, const std::string& document);
   void OnNewest(config_version newest);
+  void OnEvacuations(const evacuation_list& list);
   void CheckDrained();
   void Tick();
 
@@ -106,6 +108,7 @@
   metrics_registry metrics_;
   decision_log log_;
   route_holder routes_;
+  evacuation_holder evacuations_;
   endpoint_pool endpoints_;
   run_entry_links links_;
   parallel_job_controller jobs_;
--- a/src/libalmond/processes/run_agent_process.cc
+++ b/src/libalmond/processes/run_agent_process.cc
@@ -6,6 +6,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/daemon_log.h"
+#include "libalmond/processes/evacuation_report.h"
 
 namespace almond {
 
@@ -90,6 +91,9 @@
   hooks.on_alike_agents = [this](std::uint32_t number) {
     alike_agents_ = number;
   };
+  hooks.on_evacuations = [this](const evacuation_list& list) {
+    OnEvacuations(list);
+  };
   return hooks;
 }
 
@@ -154,6 +158,7 @@
           RunHooks());
     }
     endpoint->OnAnnouncement(announced);
+    endpoint->SetEvacuated(IsEvacuated(*endpoint));
   }
   respond(adapter_.acknowledge());
 }
@@ -200,6 +205,19 @@
   RetireLinks();
 }
 
+void run_agent_process::OnEvacuations(const evacuation_list& list) {
+  if (!evacuations_.ApplyIfNewer(list)) return;
+  for (const auto& [id, endpoint] : endpoints_) {
+    endpoint->SetEvacuated(IsEvacuated(*endpoint));
+  }
+  ReportEvacuations(evacuations_.Evacuations(), log_, metrics_);
+}
+
+bool run_agent_process::IsEvacuated(const run_controller& endpoint) const {
+  return evacuations_.IsEvacuated(settings_.data_centre) ||
+         evacuations_.IsEvacuated(endpoint.Endpoint().data_centre);
+}
+
 void run_agent_process::RetireLinks() {
   const steady_time now = clock_.SteadyNow();
   std::map<link_id, steady_time> retiring;
--- a/src/libalmond/processes/run_agent_process.h
+++ b/src/libalmond/processes/run_agent_process.h
@@ -11,6 +11,7 @@
 
 #include "libalmond/controllers/agent/entry_subset.h"
 #include "libalmond/controllers/agent/run_controller.h"
+#include "libalmond/controllers/evacuation_holder.h"
 #include "libalmond/core/decision_log.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/net/http_server.h"
@@ -94,6 +95,8 @@
   void OnMessage(link_id link, const entry_run_message& message);
   void OnClosed(link_id link);
   void OnEntries(const std::vector<entry_address>& entries);
+  void OnEvacuations(const evacuation_list& list);
+  bool IsEvacuated(const run_controller& endpoint) const;
   std::string EndpointKind() const;
   /// Closes the links to entries that are not chosen any more, once they are
   /// unused.
@@ -111,6 +114,7 @@
   incarnation_id incarnation_;
   metrics_registry metrics_;
   decision_log log_;
+  evacuation_holder evacuations_;
   run_agent_links links_;
   entry_subset subset_;
   std::size_t alike_agents_ = 0;  ///< 0 if unknown
--- a/src/libalmond/wire/gen/run_types.cpp
+++ b/src/libalmond/wire/gen/run_types.cpp
@@ -958,6 +958,10 @@
 void EndpointState::__set_waiting_priority(const int32_t val) {
   this->waiting_priority = val;
 }
+
+void EndpointState::__set_cold_ms(const int64_t val) {
+  this->cold_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointState& obj)
 {
   obj.printTo(out);
@@ -1066,6 +1070,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_ms);
+          this->__isset.cold_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1123,6 +1135,10 @@
   xfer += oprot->writeI32(this->waiting_priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cold_ms", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->cold_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1140,6 +1156,7 @@
   swap(a.orders_seen, b.orders_seen);
   swap(a.waiting, b.waiting);
   swap(a.waiting_priority, b.waiting_priority);
+  swap(a.cold_ms, b.cold_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1154,6 +1171,7 @@
   orders_seen = other20.orders_seen;
   waiting = other20.waiting;
   waiting_priority = other20.waiting_priority;
+  cold_ms = other20.cold_ms;
   __isset = other20.__isset;
 }
 EndpointState::EndpointState(EndpointState&& other21) noexcept {
@@ -1167,6 +1185,7 @@
   orders_seen = other21.orders_seen;
   waiting = other21.waiting;
   waiting_priority = other21.waiting_priority;
+  cold_ms = other21.cold_ms;
   __isset = other21.__isset;
 }
 EndpointState& EndpointState::operator=(const EndpointState& other22) {
@@ -1180,6 +1199,7 @@
   orders_seen = other22.orders_seen;
   waiting = other22.waiting;
   waiting_priority = other22.waiting_priority;
+  cold_ms = other22.cold_ms;
   __isset = other22.__isset;
   return *this;
 }
@@ -1194,6 +1214,7 @@
   orders_seen = other23.orders_seen;
   waiting = other23.waiting;
   waiting_priority = other23.waiting_priority;
+  cold_ms = other23.cold_ms;
   __isset = other23.__isset;
   return *this;
 }
@@ -1210,6 +1231,7 @@
   out << ", " << "orders_seen=" << to_string(orders_seen);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "waiting_priority=" << to_string(waiting_priority);
+  out << ", " << "cold_ms=" << to_string(cold_ms);
   out << ")";
 }
 
--- a/src/libalmond/wire/gen/run_types.h
+++ b/src/libalmond/wire/gen/run_types.h
@@ -383,7 +383,7 @@
 std::ostream& operator<<(std::ostream& out, const RunWithdraw& obj);
 
 typedef struct _EndpointState__isset {
-  _EndpointState__isset() : endpoint(false), service_name(false), data_centre(false), total(false), unused(false), accepting(false), stamp(false), orders_seen(false), waiting(false), waiting_priority(false) {}
+  _EndpointState__isset() : endpoint(false), service_name(false), data_centre(false), total(false), unused(false), accepting(false), stamp(false), orders_seen(false), waiting(false), waiting_priority(false), cold_ms(false) {}
   bool endpoint :1;
   bool service_name :1;
   bool data_centre :1;
@@ -394,6 +394,7 @@
   bool orders_seen :1;
   bool waiting :1;
   bool waiting_priority :1;
+  bool cold_ms :1;
 } _EndpointState__isset;
 
 class EndpointState : public virtual ::apache::thrift::TBase {
@@ -411,7 +412,8 @@
                   stamp(0),
                   orders_seen(0),
                   waiting(0),
-                  waiting_priority(0) {
+                  waiting_priority(0),
+                  cold_ms(0) {
   }
 
   virtual ~EndpointState() noexcept;
@@ -425,6 +427,7 @@
   int64_t orders_seen;
   int32_t waiting;
   int32_t waiting_priority;
+  int64_t cold_ms;
 
   _EndpointState__isset __isset;
 
@@ -448,6 +451,8 @@
 
   void __set_waiting_priority(const int32_t val);
 
+  void __set_cold_ms(const int64_t val);
+
   bool operator == (const EndpointState & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -470,6 +475,8 @@
       return false;
     if (!(waiting_priority == rhs.waiting_priority))
       return false;
+    if (!(cold_ms == rhs.cold_ms))
+      return false;
     return true;
   }
   bool operator != (const EndpointState &rhs) const {
--- a/src/libalmond/wire/run.thrift
+++ b/src/libalmond/wire/run.thrift
@@ -14,6 +14,6 @@
 struct EndpointState {
   1: string endpoint, 2: string service_name, 3: string data_centre, 4: Room total, 5: Room unused,
   6: bool accepting, 7: i64 stamp, 8: i64 orders_seen, 9: i32 waiting,
-  10: i32 waiting_priority
+  10: i32 waiting_priority, 11: i64 cold_ms
 }
 struct RunEnd { 1: string endpoint, 2: RunKey key, 3: i8 kind, 4: i64 ran_ms }
--- a/src/libalmond/wire/run_codec.cc
+++ b/src/libalmond/wire/run_codec.cc
@@ -1,5 +1,6 @@
 #include "libalmond/wire/run_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libalmond/wire/thrift_buffer.h"
@@ -24,6 +25,9 @@
   run_end = 121,
 };
 
+/// Longer times are shortened, so that adding them to a time cannot overflow.
+constexpr milliseconds kMaxColdTime = std::chrono::hours(24);
+
 template <typename Message>
 frame MakeFrame(frame_type type, const Message& message) {
   return {static_cast<std::uint8_t>(type), wire::ToBytes(message)};
@@ -123,6 +127,7 @@
   result.orders_seen = static_cast<std::int64_t>(state.orders_seen);
   result.waiting = static_cast<std::int32_t>(state.waiting);
   result.waiting_priority = static_cast<std::int32_t>(state.waiting_priority);
+  result.cold_ms = state.cold_left.count();
   return MakeFrame(frame_type::endpoint_state, result);
 }
 
@@ -138,6 +143,8 @@
   state.orders_seen = static_cast<std::uint64_t>(encoded.orders_seen);
   state.waiting = CountFromWire(encoded.waiting);
   state.waiting_priority = CountFromWire(encoded.waiting_priority);
+  state.cold_left =
+      std::clamp(milliseconds(encoded.cold_ms), milliseconds(0), kMaxColdTime);
   return state;
 }
 
