--- a/src/libalmond/processes/control_process_codec.cc
+++ b/src/libalmond/processes/control_process_codec.cc
@@ -289,10 +289,23 @@
   return JsonResponse(200, {{"changes", changes}});
 }
 
+json EvacuationsJson(const evacuation_list& list) {
+  json names = json::array();
+  for (const data_centre_id& name : list.data_centres) {
+    names.push_back(name.Value());
+  }
+  return {{"revision", list.revision.Value()}, {"data_centres", names}};
+}
+
 http_response StatusResponse(config_version newest, const std::string& leader,
                              const std::vector<process_status>& processes,
-                             const std::vector<replica_summary>& replicas) {
-  return JsonResponse(200, StatusJson(newest, leader, processes, replicas));
+                             const std::vector<replica_summary>& replicas,
+                             const evacuation_list& evacuations) {
+  json body = StatusJson(newest, leader, processes, replicas);
+  if (evacuations.revision.Value() != 0) {
+    body["evacuations"] = EvacuationsJson(evacuations);
+  }
+  return JsonResponse(200, body);
 }
 
 http_response ReplicasResponse(config_version newest, const std::string& leader,
