--- a/tests/platform_programs/piped_program.h
+++ b/tests/platform_programs/piped_program.h
@@ -28,6 +28,7 @@
   /// @returns what has been written to the pipe and not been read yet
   std::string ReadAvailable();
   void CloseReader();
+  pid_t Id() const { return process_; }
   void Signal(int signal) const;
   /// @returns true if the process has ended
   bool Ended();
