input limits: bound the memory and the connections of a process's clients

Cause: evhttp goes on reading while an answer waits to be sent and takes a body only once it is complete, and neither http_server nor peer_listener limited the number of connections. Change: connection_budget records what each accepted connection holds and decides which one is closed once a limit is exceeded; http_server_connection bounds what is read ahead; peer links report their input to the same budget. A request for which there is no memory gets 503 before its handler is called.

--- a/src/agentd/main.cc
+++ b/src/agentd/main.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "flags/limit_flags.h"
 #include "libalmond/core/logging.h"
 #include "libalmond/core/standard_streams.h"
 #include "libalmond/net/event_loop.h"
@@ -105,12 +106,17 @@
   if (FLAGS_drain_timeout < 1 || FLAGS_drain_timeout > kMaxDrainTimeout) {
     return Wrong("--drain_timeout: expected 1 to 86400 seconds");
   }
+  const auto limits = ReadLimitFlags();
+  if (!limits) return EXIT_FAILURE;
   ConfigureLogging("almond-agentd");
   event_loop loop;
   const system_clock clock;
   const agent_settings settings{agent_id(FLAGS_id),
-                                data_centre_id(FLAGS_data_centre), *listen,
-                                *entries, *control};
+                                data_centre_id(FLAGS_data_centre),
+                                *listen,
+                                *entries,
+                                *control,
+                                *limits};
   agent_process agent(loop, clock, settings);
   const agent_control control_connection(loop, clock, settings, agent);
   if (!agent.Start()) {
--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "flags/limit_flags.h"
 #include "libalmond/core/logging.h"
 #include "libalmond/core/standard_streams.h"
 #include "libalmond/net/event_loop.h"
@@ -64,6 +65,9 @@
   settings.data_centre = data_centre_id(FLAGS_data_centre);
   settings.data_dir = FLAGS_data_dir;
   settings.bootstrap = FLAGS_bootstrap;
+  const auto limits = ReadLimitFlags();
+  if (!limits) return std::nullopt;
+  settings.limits = *limits;
   const auto replicas = ParseReplicas(FLAGS_replicas);
   if (!replicas) {
     std::cerr << "--replicas \"" << FLAGS_replicas
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "flags/limit_flags.h"
 #include "libalmond/core/logging.h"
 #include "libalmond/core/standard_streams.h"
 #include "libalmond/net/event_loop.h"
@@ -70,6 +71,9 @@
   CheckRange("drain_delay", FLAGS_drain_delay, kMaxDrainDelay, error);
   CheckRange("drain_timeout", FLAGS_drain_timeout, kMaxDrainTimeout, error);
   if (!error.empty()) return std::nullopt;
+  const auto limits = ReadLimitFlags();
+  if (!limits) return std::nullopt;
+  settings.limits = *limits;
   settings.listen_http = *http;
   settings.listen_peer = *peer;
   settings.drain_delay = milliseconds(FLAGS_drain_delay);
@@ -142,7 +146,7 @@
   std::string error;
   const auto settings = almond::ReadSettings(error);
   if (!settings) {
-    std::cerr << "almond-entryd: " << error << "\n";
+    if (!error.empty()) std::cerr << "almond-entryd: " << error << "\n";
     return EXIT_FAILURE;
   }
   return almond::RunEntry(*settings,
--- a/src/libalmond/net/http_server.h
+++ b/src/libalmond/net/http_server.h
@@ -6,12 +6,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "libalmond/core/socket_address.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/net/http_message.h"
+#include "libalmond/net/http_server_connection.h"
 
+struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_request;
@@ -21,10 +25,6 @@
 /// HTTP server based on evhttp. Handlers may respond asynchronously.
 class http_server {
  public:
-  /// Larger bodies are refused by evhttp before a handler is called; handlers
-  /// have their own, smaller limits.
-  static constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20U;
-  static constexpr std::size_t kMaxHeaderBytes = std::size_t{32} << 10U;
   /// A connection without received bytes for this time is closed. This also
   /// ends requests whose headers arrive too slowly.
   static constexpr std::chrono::seconds kIdleTimeout{30};
@@ -36,8 +36,18 @@
   /// Called with the number of a request whose client closed the connection
   /// before its response.
   using disconnect_hook = std::function<void(std::uint64_t)>;
+  /// @returns the response to a request that is refused before it is handled,
+  ///   since the connections of the process hold too much memory
+  using overload_hook = std::function<http_response(const http_request&)>;
 
+  /// @param budget of the process, shared by its servers
+  /// @param kind decides how many connections the server may have
   /// @param idle_timeout see kIdleTimeout
+  http_server(event_loop& loop, handler handle,
+              std::shared_ptr<connection_budget> budget,
+              listener_kind kind = listener_kind::main,
+              std::chrono::seconds idle_timeout = kIdleTimeout);
+  /// Creates a server with a budget of its own and the default limits.
   http_server(event_loop& loop, handler handle,
               std::chrono::seconds idle_timeout = kIdleTimeout);
   ~http_server();
@@ -50,6 +60,10 @@
   void SetDisconnectHook(disconnect_hook on_disconnect) {
     on_disconnect_ = std::move(on_disconnect);
   }
+  /// Sets the response to requests that are refused before they are handled.
+  void SetOverloadHook(overload_hook on_overload) {
+    on_overload_ = std::move(on_overload);
+  }
   /// @param address IP and port; port 0 selects a free port
   /// @returns false if the address cannot be bound
   bool Listen(const socket_address& address);
@@ -63,8 +77,22 @@
   std::size_t Pending() const { return *pending_; }
 
  private:
+  using connection_number = connection_budget::connection_number;
+
   static void OnRequest(evhttp_request* request, void* argument);
+  static bufferevent* OnAccept(event_base* base, void* argument);
+  static void OnAccepted(int descriptor, short events, void* argument);
+  void Accept(bufferevent* stream);
+  /// Completes the setup of the connections that were just accepted.
+  void AttachAccepted();
+  http_server_connection* Find(evhttp_request* request) const;
+  void ScheduleCheck(connection_number number);
+  void Check();
+  void Sweep();
+  void Close(connection_number number);
   void Handle(evhttp_request* request);
+  void Respond(evhttp_request* request, const http_response& response,
+               bool close_after);
   void Watch(evhttp_request* request, std::uint64_t number);
 
   event_loop& loop_;
@@ -74,6 +102,18 @@
   /// Read events of connections with a request in progress, by the number
   /// of the request.
   std::map<std::uint64_t, event_handle> watches_;
+  std::shared_ptr<connection_budget> budget_;
+  connection_budget::listener_number listener_;
+  overload_hook on_overload_;
+  std::map<connection_number, std::unique_ptr<http_server_connection>>
+      connections_;
+  std::unordered_map<const evhttp_connection*, http_server_connection*>
+      by_handle_;
+  std::vector<connection_number> accepted_;
+  /// Connections whose input is full.
+  std::vector<connection_number> full_;
+  event_handle check_timer_;
+  event_handle sweep_timer_;
   evhttp* server_;
   evhttp_bound_socket* socket_ = nullptr;
   socket_address address_;
--- a/src/libalmond/net/peer_link.cc
+++ b/src/libalmond/net/peer_link.cc
@@ -63,6 +63,7 @@
 
 void peer_link::Close() {
   ping_timer_.Reset();
+  if (budget_) std::exchange(budget_, nullptr)->Remove(number_);
   if (stream_ == nullptr) return;
   bufferevent_free(std::exchange(stream_, nullptr));
 }
@@ -75,7 +76,10 @@
 }
 
 void peer_link::OnRead(bufferevent* /*stream*/, void* argument) {
-  static_cast<peer_link*>(argument)->ReadFrames();
+  auto* link = static_cast<peer_link*>(argument);
+  const std::shared_ptr<peer_link> self = link->shared_from_this();
+  link->ReadFrames();
+  link->ReportInput();
 }
 
 void peer_link::OnEvent(bufferevent* /*stream*/, short events, void* argument) {
@@ -115,7 +119,21 @@
   }
 }
 
+void peer_link::ReportInput() {
+  if (!budget_ || stream_ == nullptr) return;
+  // Shorter input is not reported, as every link has some.
+  constexpr std::size_t kMinReported = std::size_t{64} << 10U;
+  std::size_t held = evbuffer_get_length(bufferevent_get_input(stream_));
+  if (held < kMinReported) held = 0;
+  if (held == reported_) return;
+  reported_ = held;
+  const std::shared_ptr<connection_budget> budget = budget_;
+  budget->SetHeld(number_, held);
+  if (budget->HoldsTooMuch()) budget->Enforce();
+}
+
 void peer_link::Receive(const frame& message) {
+  if (budget_ && message.type < kFirstLinkFrameType) budget_->OnSent(number_);
   if (message.type == kPingFrame) {
     Send({kPongFrame, ""});
   } else if (message.type < kFirstLinkFrameType) {
--- a/src/libalmond/net/peer_link.h
+++ b/src/libalmond/net/peer_link.h
@@ -4,10 +4,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "libalmond/core/clock.h"
 #include "libalmond/core/frame.h"
 #include "libalmond/core/socket_address.h"
+#include "libalmond/net/connection_budget.h"
 #include "libalmond/net/event_loop.h"
 
 struct bufferevent;
@@ -54,6 +56,15 @@
   peer_link(const peer_link&) = delete;
   peer_link& operator=(const peer_link&) = delete;
 
+  /// Sets the budget that the link's input is counted in.
+  /// @param number of this connection; removed at the link's end
+  void SetBudget(std::shared_ptr<connection_budget> budget,
+                 connection_budget::connection_number number) {
+    budget_ = std::move(budget);
+    number_ = number;
+  }
+  /// Ends the connection with a call of on_close.
+  void Abort(const std::string& reason) { Fail(reason); }
   /// Sets the callbacks and starts reading.
   void Start(hooks callbacks);
   /// Sends a frame; ignored after the end of the connection.
@@ -68,6 +79,7 @@
   static void OnRead(bufferevent* stream, void* argument);
   static void OnEvent(bufferevent* stream, short events, void* argument);
   void ReadFrames();
+  void ReportInput();
   void Receive(const frame& message);
   void CheckLiveness();
   void Fail(const std::string& reason);
@@ -79,6 +91,9 @@
   hooks hooks_;
   steady_time last_received_;
   event_handle ping_timer_;
+  std::shared_ptr<connection_budget> budget_;
+  connection_budget::connection_number number_ = 0;
+  std::size_t reported_ = 0;
 };
 
 }  // namespace almond
--- a/src/libalmond/net/peer_listener.cc
+++ b/src/libalmond/net/peer_listener.cc
@@ -16,7 +16,36 @@
       on_accept_(std::move(on_accept)),
       timing_(timing) {}
 
-peer_listener::~peer_listener() { Close(); }
+peer_listener::~peer_listener() {
+  Close();
+  if (budget_) budget_->RemoveListener(listener_number_);
+}
+
+void peer_listener::SetBudget(std::shared_ptr<connection_budget> budget,
+                              listener_kind kind) {
+  budget_ = std::move(budget);
+  listener_number_ = budget_->AddListener(
+      kind, [this](connection_budget::connection_number number) {
+        const auto found = links_.find(number);
+        if (found == links_.end()) return;
+        const auto link = found->second.lock();
+        links_.erase(found);
+        if (link) link->Abort("closed to keep a limit on connections");
+      });
+}
+
+void peer_listener::Accept(int descriptor) {
+  const auto link = peer_link::Create(loop_, clock_, descriptor, timing_);
+  if (budget_) {
+    const auto number = budget_->Add(listener_number_);
+    link->SetBudget(budget_, number);
+    std::erase_if(links_,
+                  [](const auto& entry) { return entry.second.expired(); });
+    links_[number] = link;
+  }
+  on_accept_(link);
+  if (budget_) budget_->Enforce();
+}
 
 bool peer_listener::Listen(const socket_address& address) {
   const sockaddr_in raw = ToSockaddr(address);
@@ -24,8 +53,7 @@
                          evutil_socket_t descriptor, sockaddr* /*peer*/,
                          int /*length*/, void* argument) {
     auto* self = static_cast<peer_listener*>(argument);
-    self->on_accept_(peer_link::Create(self->loop_, self->clock_, descriptor,
-                                       self->timing_));
+    self->Accept(descriptor);
   };
   listener_ = evconnlistener_new_bind(
       loop_.Base(), accept, this,
--- a/src/libalmond/net/peer_listener.h
+++ b/src/libalmond/net/peer_listener.h
@@ -2,6 +2,7 @@
 #define ALMOND_NET_PEER_LISTENER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 
 #include "libalmond/net/event_loop.h"
@@ -23,6 +24,9 @@
   peer_listener(const peer_listener&) = delete;
   peer_listener& operator=(const peer_listener&) = delete;
 
+  /// Limits the number of links and what they hold. Must be called before
+  /// Listen.
+  void SetBudget(std::shared_ptr<connection_budget> budget, listener_kind kind);
   /// @param address IP and port; port 0 selects a free port
   /// @returns false if the address cannot be bound
   bool Listen(const socket_address& address);
@@ -31,11 +35,18 @@
   void Close();
 
  private:
+  void Accept(int descriptor);
+
   event_loop& loop_;
   const clock_interface& clock_;
   accept_hook on_accept_;
   link_timing timing_;
   evconnlistener* listener_ = nullptr;
+  std::shared_ptr<connection_budget> budget_;
+  connection_budget::listener_number listener_number_ = 0;
+  /// Accepted links, by their number in the budget.
+  std::map<connection_budget::connection_number, std::weak_ptr<peer_link>>
+      links_;
   socket_address address_;
 };
 
--- a/src/libalmond/net/socket_util.cc
+++ b/src/libalmond/net/socket_util.cc
@@ -4,6 +4,13 @@
 
 namespace almond {
 
+void LimitSocketBuffers(int listener) {
+  for (const int direction : {SO_RCVBUF, SO_SNDBUF}) {
+    setsockopt(listener, SOL_SOCKET, direction, &kSocketBufferBytes,
+               sizeof(kSocketBufferBytes));
+  }
+}
+
 sockaddr_in ToSockaddr(const socket_address& address) {
   sockaddr_in result{};
   result.sin_family = AF_INET;
--- a/src/libalmond/processes/agent_process.cc
+++ b/src/libalmond/processes/agent_process.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "libalmond/core/logging.h"
+#include "libalmond/processes/input_budget.h"
 
 namespace almond {
 namespace {
@@ -39,10 +40,14 @@
                   {settings_.id, incarnation_, settings_.data_centre},
                   ControllerHooks()),
       http_api_(controller_, metrics_, [this] { return config_.document(); }),
-      http_(loop, [this](const http_request& request,
-                         const http_server::responder& respond) {
-        respond(http_api_.Handle(request));
-      }) {}
+      budget_(MakeInputBudget(clock, metrics_, settings_.limits)),
+      http_(
+          loop,
+          [this](const http_request& request,
+                 const http_server::responder& respond) {
+            respond(http_api_.Handle(request));
+          },
+          budget_) {}
 
 agent_controller::hooks agent_process::ControllerHooks() {
   agent_controller::hooks callbacks;
--- a/src/libalmond/processes/agent_process.h
+++ b/src/libalmond/processes/agent_process.h
@@ -25,6 +25,7 @@
   std::vector<socket_address> entries;
   /// Control processes; read by agent_control.
   std::vector<socket_address> control = {};
+  input_limits limits = {};
 };
 
 /// Hooks through which an agent reads its configuration and passes on
@@ -102,6 +103,7 @@
   endpoint_client endpoint_;
   agent_controller controller_;
   agent_http http_api_;
+  std::shared_ptr<connection_budget> budget_;
   http_server http_;
   std::function<void()> on_drained_;
   event_handle tick_timer_;
--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -6,6 +6,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/net/http_client.h"
+#include "libalmond/processes/input_budget.h"
 #include "libalmond/processes/operator_log.h"
 #include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
@@ -20,20 +21,24 @@
       random_(std::random_device{}()),
       service_(clock, machine_, metrics_, ServiceHooks()),
       api_(service_, machine_, metrics_, ApiHooks()),
-      http_(loop,
-            [this](const http_request& request,
-                   const http_server::responder& respond) {
-              const auto logged = LogAnswer(clock_, request, respond);
-              if (operator_interface_ && operator_interface_(request, logged)) {
-                return;
-              }
-              api_.Handle(request, logged);
-            }),
+      budget_(MakeInputBudget(clock, metrics_, settings_.limits)),
+      http_(
+          loop,
+          [this](const http_request& request,
+                 const http_server::responder& respond) {
+            const auto logged = LogAnswer(clock_, request, respond);
+            if (operator_interface_ && operator_interface_(request, logged)) {
+              return;
+            }
+            api_.Handle(request, logged);
+          },
+          budget_, listener_kind::probe),
       listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
         OnAccept(link);
       }) {}
 
 std::optional<start_error> control_process::Start() {
+  listener_.SetBudget(budget_, listener_kind::member);
   if (!http_.Listen(settings_.listen_http)) {
     return start_error{"cannot bind --listen_http " +
                        settings_.listen_http.ToString()};
@@ -84,6 +89,7 @@
   }
   result.data_folder = settings_.data_dir;
   result.bootstrap = settings_.bootstrap;
+  result.budget = budget_;
   result.snapshot_after_entries = kSnapshotAfterEntries;
   return result;
 }
--- a/src/libalmond/processes/control_process.h
+++ b/src/libalmond/processes/control_process.h
@@ -113,6 +113,7 @@
   control_process_api api_;
   std::function<bool(const http_request&, const http_server::responder&)>
       operator_interface_;
+  std::shared_ptr<connection_budget> budget_;
   http_server http_;
   peer_listener listener_;
   std::map<link_id, std::shared_ptr<peer_link>> links_;
--- a/src/libalmond/processes/control_process_settings.h
+++ b/src/libalmond/processes/control_process_settings.h
@@ -8,6 +8,7 @@
 
 #include "libalmond/core/identifiers.h"
 #include "libalmond/core/socket_address.h"
+#include "libalmond/net/input_limits.h"
 
 namespace almond {
 
@@ -35,6 +36,7 @@
   socket_address listen_http;
   std::string data_dir;
   bool bootstrap = false;
+  input_limits limits;
 };
 
 /// @param text "ID=IP:PORT/IP:PORT,..." with the addresses for replicas and for
--- a/src/libalmond/processes/control_standby.cc
+++ b/src/libalmond/processes/control_standby.cc
@@ -5,6 +5,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/control_process_codec.h"
+#include "libalmond/processes/input_budget.h"
 #include "libalmond/processes/operator_log.h"
 #include "libalmond/storage/storage_error.h"
 #include "libalmond/wire/control_codec.h"
@@ -17,15 +18,18 @@
     : settings_(std::move(configured)),
       finder_(loop, settings_.own, settings_.http_addresses,
               FinderHooks(on_claimed)),
-      http_(loop,
-            [this, &clock](const http_request& request,
-                           const http_server::responder& respond) {
-              const auto logged = LogAnswer(clock, request, respond);
-              if (operator_interface_ && operator_interface_(request, logged)) {
-                return;
-              }
-              logged(NotLeaderResponse(LeaderHttpAddress()));
-            }),
+      budget_(MakeInputBudget(clock, metrics_, settings_.limits)),
+      http_(
+          loop,
+          [this, &clock](const http_request& request,
+                         const http_server::responder& respond) {
+            const auto logged = LogAnswer(clock, request, respond);
+            if (operator_interface_ && operator_interface_(request, logged)) {
+              return;
+            }
+            logged(NotLeaderResponse(LeaderHttpAddress()));
+          },
+          budget_, listener_kind::probe),
       listener_(loop, clock, [this](const std::shared_ptr<peer_link>& link) {
         OnAccept(link);
       }) {}
@@ -50,6 +54,7 @@
 }
 
 std::optional<std::string> control_standby::Start() {
+  listener_.SetBudget(budget_, listener_kind::member);
   if (!http_.Listen(*settings_.own.http)) {
     return "cannot listen on " + settings_.own.http->ToString();
   }
--- a/src/libalmond/processes/control_standby.h
+++ b/src/libalmond/processes/control_standby.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "libalmond/core/metrics.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/net/http_server.h"
 #include "libalmond/net/peer_listener.h"
@@ -26,6 +27,7 @@
     /// Folder for the addresses of the replicas, with which the process finds
     /// them again after a restart. Without one, it claims no place.
     std::string data_dir;
+    input_limits limits = {};
   };
 
   /// @param loop the process's loop; outlives the standby
@@ -66,6 +68,8 @@
   std::function<bool(const http_request&, const http_server::responder&)>
       operator_interface_;
   assignment_finder finder_;
+  metrics_registry metrics_;
+  std::shared_ptr<connection_budget> budget_;
   http_server http_;
   peer_listener listener_;
   std::set<std::shared_ptr<peer_link>> links_;
--- a/src/libalmond/processes/entry_links.h
+++ b/src/libalmond/processes/entry_links.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 
 #include "libalmond/core/metrics.h"
 #include "libalmond/net/peer_listener.h"
@@ -32,6 +33,10 @@
                  milliseconds announce_timeout = kAnnounceTimeout,
                  link_timing timing = {});
 
+  /// Limits the links and what they hold. Must be called before Listen.
+  void SetBudget(std::shared_ptr<connection_budget> budget) {
+    listener_.SetBudget(std::move(budget), listener_kind::peer);
+  }
   /// @returns false if the address cannot be bound
   bool Listen(const socket_address& address) {
     return listener_.Listen(address);
--- a/src/libalmond/processes/entry_process.cc
+++ b/src/libalmond/processes/entry_process.cc
@@ -4,6 +4,8 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/filters/entry_filters.h"
+#include "libalmond/processes/entry_codec.h"
+#include "libalmond/processes/input_budget.h"
 
 namespace almond {
 namespace {
@@ -49,11 +51,14 @@
           {clock, [this] { return listener_closed_; },
            [this] { return config_ ? &*config_ : nullptr; },
            State(dispatch_)})),
-      http_(loop,
-            [this](const http_request& request,
-                   const http_server::responder& respond) {
-              OnHttp(request, respond);
-            }),
+      budget_(MakeInputBudget(clock, metrics_, settings_.limits)),
+      http_(
+          loop,
+          [this](const http_request& request,
+                 const http_server::responder& respond) {
+            OnHttp(request, respond);
+          },
+          budget_),
       links_(loop, clock, metrics_,
              {[this](link_id link, const agent_message& message) {
                 OnAgentMessage(link, message);
@@ -86,6 +91,16 @@
 }
 
 bool entry_process::Start() {
+  links_.SetBudget(budget_);
+  http_.SetOverloadHook([this](const http_request& request) {
+    metrics_.Refusals(refusal_reason::overloaded).Add();
+    // An earlier request with the same id may have run at any entry.
+    const bool named =
+        !HeaderValue(request.headers, "Almond-Submission").empty();
+    return RefusalResponse({refusal_reason::overloaded,
+                            named ? run_outcome::unknown : run_outcome::not_run,
+                            "too many requests at once"});
+  });
   if (!http_.Listen(settings_.listen_http)) return false;
   if (!links_.Listen(settings_.listen_peer)) return false;
   tick_timer_ = loop_.Every(kTickPeriod, [this] { Tick(); });
--- a/src/libalmond/processes/entry_process.h
+++ b/src/libalmond/processes/entry_process.h
@@ -30,6 +30,7 @@
   milliseconds drain_delay{0};
   /// Maximum time for requests in progress after the listener has closed.
   milliseconds drain_timeout{60000};
+  input_limits limits;
 };
 
 /// Hooks of an entry for the ledger and the configuration; each may be empty.
@@ -135,6 +136,7 @@
   submission_controller submissions_;
   filter_chain filters_;
   filter_chain admission_filters_;
+  std::shared_ptr<connection_budget> budget_;
   http_server http_;
   entry_links links_;
   bool draining_ = false;
--- a/src/libalmond/processes/job_entry_process.cc
+++ b/src/libalmond/processes/job_entry_process.cc
@@ -2,6 +2,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/daemon_log.h"
+#include "libalmond/processes/input_budget.h"
 
 namespace almond {
 
@@ -39,27 +40,41 @@
                 MakeJobBodyFilter([this](const job_context& context) {
                   return adapter_.decode_job(*current_request_, context);
                 })}),
-      http_(loop,
-            [this](const http_request& request,
-                   const http_server::responder& respond) {
-              OnRequest(request, respond);
-            }),
-      readiness_http_(loop,
-                      [this](const http_request& request,
-                             const http_server::responder& respond) {
-                        OnReadiness(request, respond);
-                      }),
-      metrics_http_(loop,
-                    [this](const http_request& /*request*/,
-                           const http_server::responder& respond) {
-                      respond(MetricsResponse(metrics_));
-                    }),
+      budget_(MakeInputBudget(clock, metrics_, settings_.limits)),
+      http_(
+          loop,
+          [this](const http_request& request,
+                 const http_server::responder& respond) {
+            OnRequest(request, respond);
+          },
+          budget_),
+      readiness_http_(
+          loop,
+          [this](const http_request& request,
+                 const http_server::responder& respond) {
+            OnReadiness(request, respond);
+          },
+          budget_, listener_kind::probe),
+      metrics_http_(
+          loop,
+          [this](const http_request& /*request*/,
+                 const http_server::responder& respond) {
+            respond(MetricsResponse(metrics_));
+          },
+          budget_, listener_kind::probe),
       control_(loop, clock, metrics_, settings_.control, ClientHooks(),
                settings_.control_timing) {}
 
 std::optional<std::string> job_entry_process::Start() {
   http_.SetDisconnectHook(
       [this](std::uint64_t request) { OnCallerDisconnected(request); });
+  links_.SetBudget(budget_);
+  http_.SetOverloadHook([this](const http_request& /*request*/) {
+    metrics_.Refusals(refusal_reason::overloaded).Add();
+    return adapter_.encode_refusal({refusal_reason::overloaded,
+                                    run_outcome::not_run,
+                                    "too many requests at once"});
+  });
   const auto listen = [](auto& server, const socket_address& address) {
     return server.Listen(address)
                ? std::nullopt
--- a/src/libalmond/processes/job_entry_process.h
+++ b/src/libalmond/processes/job_entry_process.h
@@ -40,6 +40,7 @@
   /// Time after the termination signal at which the process exits regardless of
   /// jobs in progress.
   milliseconds drain_timeout{5000};
+  input_limits limits;
 };
 
 /// Translates between the HTTP interface for callers and the entry's types.
@@ -110,6 +111,7 @@
   run_entry_links links_;
   parallel_job_controller jobs_;
   filter_chain_of<job_context> filters_;
+  std::shared_ptr<connection_budget> budget_;
   http_server http_;
   http_server readiness_http_;
   http_server metrics_http_;
--- a/src/libalmond/processes/replica_host.h
+++ b/src/libalmond/processes/replica_host.h
@@ -12,6 +12,7 @@
 #include "libalmond/core/clock.h"
 #include "libalmond/core/metrics.h"
 #include "libalmond/core/socket_address.h"
+#include "libalmond/net/connection_budget.h"
 #include "libalmond/net/event_loop.h"
 #include "libalmond/replication/replica_results.h"
 
@@ -37,6 +38,8 @@
   bool bootstrap = false;
   /// Number of log entries after which a snapshot is taken.
   std::size_t snapshot_after_entries = 10000;
+  /// Limits the connections that other processes open, if set.
+  std::shared_ptr<connection_budget> budget = nullptr;
 };
 
 /// Runs one replica of the control log on the event loop, with connections to
--- a/src/libalmond/processes/replica_host_links.cc
+++ b/src/libalmond/processes/replica_host_links.cc
@@ -20,6 +20,9 @@
       }) {}
 
 bool replica_host_links::Start(const socket_address& address) {
+  if (settings_.budget) {
+    listener_.SetBudget(settings_.budget, listener_kind::probe);
+  }
   if (!listener_.Listen(address)) return false;
   for (const replica_address& peer : settings_.replicas) Dial(peer);
   return true;
--- a/src/libalmond/processes/run_agent_process.cc
+++ b/src/libalmond/processes/run_agent_process.cc
@@ -6,6 +6,7 @@
 
 #include "libalmond/core/logging.h"
 #include "libalmond/processes/daemon_log.h"
+#include "libalmond/processes/input_budget.h"
 
 namespace almond {
 
@@ -35,16 +36,21 @@
                 const auto address = socket_address::Parse(entry.peer_address);
                 return address && links_.LinkTo(*address) != link_id();
               }}),
-      http_(loop,
-            [this](const http_request& request,
-                   const http_server::responder& respond) {
-              OnRequest(request, respond);
-            }),
-      metrics_http_(loop,
-                    [this](const http_request& /*request*/,
-                           const http_server::responder& respond) {
-                      respond(MetricsResponse(metrics_));
-                    }),
+      budget_(MakeInputBudget(clock, metrics_, settings_.limits)),
+      http_(
+          loop,
+          [this](const http_request& request,
+                 const http_server::responder& respond) {
+            OnRequest(request, respond);
+          },
+          budget_),
+      metrics_http_(
+          loop,
+          [this](const http_request& /*request*/,
+                 const http_server::responder& respond) {
+            respond(MetricsResponse(metrics_));
+          },
+          budget_, listener_kind::probe),
       control_(loop, clock, metrics_, settings_.control, ClientHooks(),
                settings_.control_timing) {}
 
--- a/src/libalmond/processes/run_agent_process.h
+++ b/src/libalmond/processes/run_agent_process.h
@@ -33,6 +33,7 @@
   /// Time after the termination signal at which the process exits regardless of
   /// runs in progress.
   milliseconds drain_timeout{4500};
+  input_limits limits;
 };
 
 /// An endpoint's notice that it shuts down.
@@ -118,6 +119,7 @@
   std::map<link_id, steady_time> retiring_;
   std::map<endpoint_id, std::unique_ptr<run_controller>> endpoints_;
   std::map<link_id, std::uint64_t> orders_seen_;
+  std::shared_ptr<connection_budget> budget_;
   http_server http_;
   http_server metrics_http_;
   control_client_link control_;
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -1,5 +1,6 @@
 #include "libalmond/net/http_server.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "net/raw_connection.h"
@@ -189,5 +190,173 @@
   CHECK(server_->Pending() == 0);
 }
 
+/// A server with low limits that answers with the size of the body, or holds
+/// the request.
+class limited_server_fixture {
+ protected:
+  static input_limits Limits() {
+    input_limits limits;
+    limits.max_body_bytes = std::size_t{1} << 20U;
+    limits.max_held_bytes = std::size_t{7} << 19U;
+    limits.max_connections = 4;
+    limits.receive_timeout = milliseconds(1000);
+    return limits;
+  }
+  limited_server_fixture() {
+    REQUIRE(server_.Listen(kAnyPort));
+    server_.SetOverloadHook([](const http_request& /*request*/) {
+      return http_response{503, {}, "refused"};
+    });
+  }
+  static std::string Post(std::size_t announced, const std::string& body) {
+    return "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+           std::to_string(announced) + "\r\n\r\n" + body;
+  }
+  std::unique_ptr<raw_connection> Client(const std::string& bytes) {
+    auto client = std::make_unique<raw_connection>(loop_, server_.Address());
+    std::size_t sent = 0;
+    const auto write = loop_.Every(milliseconds(1), [&] {
+      sent += client->WriteSome(bytes.substr(sent));
+      if (sent == bytes.size()) loop_.Stop();
+    });
+    loop_.Run();
+    return client;
+  }
+  bool Await(const std::function<bool()>& condition) {
+    int ticks = 0;
+    const auto poll = loop_.Every(milliseconds(1), [&] {
+      if (condition() || ++ticks == 5000) loop_.Stop();
+    });
+    loop_.Run();
+    return condition();
+  }
+  static bool HasAnswer(raw_connection& client, const std::string& text) {
+    client.Read();
+    return client.Received().find(text) != std::string::npos;
+  }
+  std::size_t Refusals(input_refusal reason) const {
+    return static_cast<std::size_t>(
+        std::count(refusals_.begin(), refusals_.end(), reason));
+  }
+
+  event_loop loop_;
+  manual_clock clock_;
+  std::vector<input_refusal> refusals_;
+  bool hold_ = false;
+  std::vector<http_server::responder> held_;
+  std::shared_ptr<connection_budget> budget_ =
+      std::make_shared<connection_budget>(
+          clock_, Limits(),
+          [this](input_refusal reason) { refusals_.push_back(reason); });
+  http_server server_{loop_,
+                      [this](const http_request& request,
+                             const http_server::responder& respond) {
+                        if (hold_) {
+                          held_.push_back(respond);
+                          return;
+                        }
+                        respond({200, {}, std::to_string(request.body.size())});
+                      },
+                      budget_};
+};
+
+// Guards against a body that is not read to its end, since the bound on the
+// input ends the reading before.
+TEST_CASE_METHOD(limited_server_fixture,
+                 "http request / largest body / handled whole") {
+  constexpr std::size_t kBytes = std::size_t{1} << 20U;
+  const auto client = Client(Post(kBytes, std::string(kBytes, 'x')));
+  CHECK(Await([&] { return HasAnswer(*client, std::to_string(kBytes)); }));
+  CHECK(refusals_.empty());
+}
+
+// Guards against requests that were sent ahead and are lost or reordered by the
+// bound on the input.
+TEST_CASE_METHOD(limited_server_fixture,
+                 "http requests / sent ahead / all answered in order") {
+  std::string bytes;
+  for (const std::size_t size : {1U, 100'000U, 7U, 300'000U, 2U}) {
+    bytes += Post(size, std::string(size, 'x'));
+  }
+  const auto client = Client(bytes + Post(33, std::string(33, 'x')));
+  REQUIRE(Await([&] { return HasAnswer(*client, "\r\n\r\n33"); }));
+  std::size_t at = 0;
+  for (const char* size : {"1", "100000", "7", "300000", "2", "33"}) {
+    at = client->Received().find(std::string("\r\n\r\n") + size, at);
+    REQUIRE(at != std::string::npos);
+    ++at;
+  }
+}
+
+TEST_CASE_METHOD(limited_server_fixture,
+                 "http request / body announced above the limit / 413, closed, "
+                 "counted") {
+  const auto client = Client(Post(2U << 20U, "x"));
+  CHECK(client->ReadToEnd().substr(9, 3) == "413");
+  CHECK(Refusals(input_refusal::unfinished) == 1);
+}
+
+// Guards against unfinished bodies that together exceed the memory.
+TEST_CASE_METHOD(limited_server_fixture,
+                 "http requests / unfinished bodies / the largest is closed") {
+  constexpr std::size_t kAnnounced = std::size_t{1} << 20U;
+  std::vector<std::unique_ptr<raw_connection>> clients;
+  for (const std::size_t sent : {1000U, 1040U, 1010U, 1020U}) {
+    clients.push_back(Client(Post(kAnnounced, std::string(sent * 1000, 'x'))));
+  }
+  CHECK(Await([&] { return Refusals(input_refusal::memory) > 0; }));
+  CHECK(Await([&] {
+    clients[1]->Read();
+    return clients[1]->Closed();
+  }));
+  CHECK(Refusals(input_refusal::memory) == 1);
+}
+
+// Guards against a refusal of a request that was handled, and against the
+// handling of a request for which there is no memory.
+TEST_CASE_METHOD(limited_server_fixture,
+                 "http requests / requests in progress hold too much / 503 "
+                 "before the handler, answered afterwards") {
+  constexpr std::size_t kBytes = std::size_t{1} << 20U;
+  hold_ = true;
+  const auto first = Client(Post(kBytes, std::string(kBytes, 'x')));
+  REQUIRE(Await([&] { return held_.size() == 1; }));
+  const auto second = Client(Post(kBytes, std::string(kBytes, 'x')));
+  CHECK(Await([&] { return HasAnswer(*second, "refused"); }));
+  CHECK(held_.size() == 1);
+  CHECK(second->Received().find("Connection: close") != std::string::npos);
+  CHECK(Refusals(input_refusal::overloaded) == 1);
+  held_[0]({200, {}, "done"});
+  CHECK(Await([&] { return HasAnswer(*first, "done"); }));
+  hold_ = false;
+  const auto third = Client(Post(1, "x"));
+  CHECK(Await([&] { return HasAnswer(*third, "\r\n\r\n1"); }));
+}
+
+TEST_CASE_METHOD(limited_server_fixture,
+                 "http server / clients that send nothing / a new caller is "
+                 "answered") {
+  std::vector<std::unique_ptr<raw_connection>> silent;
+  for (int i = 0; i < 12; ++i) silent.push_back(Client(""));
+  const auto caller = Client("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(Await([&] { return HasAnswer(*caller, " 200 "); }));
+  CHECK(Refusals(input_refusal::connections) == 9);
+}
+
+// Guards against clients that keep a request unfinished by sending it slowly.
+TEST_CASE_METHOD(limited_server_fixture,
+                 "http request / received too slowly / closed") {
+  const auto slow = Client("GET /x HTTP/1.1\r\n");
+  const auto other = Client("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(Await([&] { return HasAnswer(*other, " 200 "); }));
+  clock_.Advance(milliseconds(1001));
+  budget_->CloseOverdue();
+  CHECK(Refusals(input_refusal::slow) == 1);
+  CHECK(Await([&] {
+    slow->Read();
+    return slow->Closed();
+  }));
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/net/raw_connection.h
+++ b/tests/net/raw_connection.h
@@ -35,6 +35,12 @@
     return send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
            static_cast<ssize_t>(bytes.size());
   }
+  /// @returns the number of bytes that could be written
+  std::size_t WriteSome(const std::string& bytes) const {
+    const ssize_t count =
+        send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return count < 0 ? 0 : static_cast<std::size_t>(count);
+  }
   void Close() {
     if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
   }
