--- a/src/libalmond/controllers/entry/parallel_job_controller.cc
+++ b/src/libalmond/controllers/entry/parallel_job_controller.cc
@@ -173,17 +173,7 @@
 }
 
 void parallel_job_controller::OnEvacuations() {
-  // Withdraw may end runs at once, which changes waiting_orders_.
-  const std::set<waiting_task> orders = waiting_orders_;
-  for (const waiting_task& waiting : orders) {
-    job* current = FindJob(waiting.job);
-    if (current == nullptr) continue;
-    const task& ordered = current->steps[waiting.step].tasks[waiting.index];
-    if (ordered.phase == task_phase::placed && ordered.waits_at_agent &&
-        !ordered.withdrawal_sent && endpoints_.IsEvacuated(ordered.place)) {
-      Withdraw(*current, waiting.step, waiting.index);
-    }
-  }
+  placer_.WithdrawFromEvacuated();
   Dispatch();
 }
 
--- a/src/libalmond/controllers/entry/task_placer.cc
+++ b/src/libalmond/controllers/entry/task_placer.cc
@@ -114,6 +114,20 @@
   }
 }
 
+void task_placer::WithdrawFromEvacuated() {
+  // Withdraw may end runs at once, which changes waiting_orders_.
+  const std::set<waiting_task> orders = waiting_orders_;
+  for (const waiting_task& waiting : orders) {
+    parallel_job* current = hooks_.find_job(waiting.job);
+    if (current == nullptr) continue;
+    parallel_task& ordered = current->steps[waiting.step].tasks[waiting.index];
+    if (ordered.phase == task_phase::placed && ordered.waits_at_agent &&
+        !ordered.withdrawal_sent && endpoints_.IsEvacuated(ordered.place)) {
+      Withdraw(*current, waiting.step, ordered, waiting.index);
+    }
+  }
+}
+
 void LogRun(decision_log& log, const char* event, const endpoint_key& place,
             const run_key& key, const nlohmann::json& more) {
   nlohmann::json fields = more;
--- a/src/libalmond/controllers/entry/task_placer.h
+++ b/src/libalmond/controllers/entry/task_placer.h
@@ -56,6 +56,8 @@
   void WithdrawWaiting(parallel_job& current);
   /// Withdraws waiting starts for which resources are free elsewhere.
   void WithdrawForFreeResources();
+  /// Withdraws starts that wait in evacuated data centres.
+  void WithdrawFromEvacuated();
 
  private:
   const clock_interface& clock_;
