--- a/tests/agent_runs/run_agent_process_test.cc
+++ b/tests/agent_runs/run_agent_process_test.cc
@@ -81,6 +81,7 @@
                                entries_[i]->listener->Address().ToString()});
     }
     reply.alike_agents = alike_agents_;
+    reply.evacuations = evacuations_;
     kind_ = std::get<heartbeat_message>(request->body).endpoint_kind;
     client_->Send(EncodeControlReply(request->number, reply));
   }
@@ -160,6 +161,7 @@
   peer_listener leader_;
   std::shared_ptr<peer_link> client_;
   std::uint32_t alike_agents_ = 0;
+  evacuation_list evacuations_;
   std::string kind_;
   std::vector<std::unique_ptr<fake_entry>> entries_;
   std::vector<run_key> running_;
@@ -211,5 +213,25 @@
   CHECK(entry.ends.empty());
 }
 
+// A leader that is not up to date must not take an evacuation back.
+TEST_CASE_METHOD(
+    run_agent_fixture,
+    "run agent / evacuated, then an older list / accepts again only "
+    "after the withdrawal") {
+  alike_agents_ = 1;  // connected to all entries
+  fake_entry& entry = *entries_.front();
+  Start(entry);
+  evacuations_ = {evacuation_revision(5), {data_centre_id("d0")}};
+  RunUntil([&entry] { return !entry.state->accepting; });
+  evacuations_ = {evacuation_revision(4), {}};
+  bool passed = false;
+  loop_.Post(milliseconds(500), [&passed] { passed = true; });
+  RunUntil([&passed] { return passed; });
+  CHECK_FALSE(entry.state->accepting);
+  CHECK(stopped_.empty());
+  evacuations_ = {evacuation_revision(6), {}};
+  RunUntil([&entry] { return entry.state->accepting; });
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/agent_runs/run_controller_test.cc
+++ b/tests/agent_runs/run_controller_test.cc
@@ -656,5 +656,49 @@
   CHECK(ends_[0].second.kind == run_end_kind::stopped);
 }
 
+// Guards against a queued start that begins after the evacuation, and against
+// runs that are ended by it.
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / data centre evacuated / queued starts "
+                 "refused as not run, runs continue") {
+  const run_start running = MakeStart(0, 4000);
+  controller_.Start(kEntry, running);
+  endpoint_.ReplyToStart();
+  controller_.Start(kOtherEntry, MakeStart(1));
+  REQUIRE(controller_.State().waiting == 1);
+  controller_.SetEvacuated(true);
+  REQUIRE(ends_.size() == 1);
+  CHECK(ends_[0].first == kOtherEntry);
+  CHECK(ends_[0].second.kind == run_end_kind::not_run);
+  CHECK_FALSE(controller_.State().accepting);
+  controller_.Start(kEntry, MakeStart(2, 1));
+  REQUIRE(ends_.size() == 2);
+  CHECK(ends_[1].second.kind == run_end_kind::not_run);
+  AdvanceTime(milliseconds(500));
+  CHECK(endpoint_.stops.empty());
+  CHECK(controller_.Runs() == 1);
+  endpoint_.EndRun(running.key, run_end_kind::done);
+  AdvanceTime(milliseconds(100));
+  REQUIRE(ends_.size() == 3);
+  CHECK(ends_[2].second.kind == run_end_kind::done);
+  controller_.SetEvacuated(false);
+  CHECK(controller_.State().accepting);
+  controller_.Start(kEntry, MakeStart(3));
+  CHECK(endpoint_.starts.size() == 1);
+}
+
+TEST_CASE_METHOD(run_controller_fixture,
+                 "run controller / cold endpoint announced / time left counts "
+                 "down") {
+  leased_endpoint announced = Announcement();
+  announced.cold_left = milliseconds(300);
+  controller_.OnAnnouncement(announced);
+  CHECK(controller_.State().cold_left == milliseconds(300));
+  AdvanceTime(milliseconds(100));
+  CHECK(controller_.State().cold_left == milliseconds(200));
+  AdvanceTime(milliseconds(400));
+  CHECK(controller_.State().cold_left == milliseconds(0));
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/control/control_process_api_test.cc
+++ b/tests/control/control_process_api_test.cc
@@ -204,5 +204,31 @@
   }
 }
 
+// Guards against outcomes that an operator's program cannot tell apart.
+TEST_CASE_METHOD(
+    control_process_api_fixture,
+    "control api / evacuations / each outcome has its own answer") {
+  data_centres_ = {data_centre_id("north")};
+  const std::string path = "/v1/evacuations/north";
+  CHECK(Call("PUT", path) == 200);
+  CHECK(Body() == json{{"revision", 1}});
+  CHECK(Call("PUT", path) == 200);
+  CHECK(Body() == json{{"revision", 1}});
+  CHECK(Call("GET", "/v1/evacuations") == 200);
+  CHECK(Body() == json{{"revision", 1}, {"data_centres", {"north"}}});
+  CHECK(Call("GET", "/v1/status") == 200);
+  CHECK(Body()["evacuations"]["data_centres"] == json{"north"});
+  CHECK(Call("DELETE", path, "", "", proposal_outcome::unknown) == 504);
+  CHECK(Call("DELETE", path) == 200);
+  CHECK(Body() == json{{"revision", 2}});
+  CHECK(Call("PUT", "/v1/evacuations/nowhere") == 404);
+  CHECK(Body() == json{{"reason", "unknown-data-centre"}});
+  CHECK(Call("POST", path) == 405);
+  CHECK(Call("PUT", "/v1/evacuations") == 405);
+  leader_ = false;
+  CHECK(Call("PUT", path) == 503);
+  CHECK(Body()["reason"] == "not-leader");
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/control/control_service_fixture.h
+++ b/tests/control/control_service_fixture.h
@@ -43,7 +43,8 @@
               return document.base == "bad"
                          ? std::vector<config_error>{{"base", "k", "a map"}}
                          : std::vector<config_error>{};
-            }});
+            },
+            [this] { return data_centres_; }});
     service_->UpdateLeadership();
   }
   void EndProposal(proposal_outcome outcome) {
@@ -115,6 +116,7 @@
   metrics_registry metrics_;
   control_state_machine machine_;
   bool leader_ = true;
+  std::vector<data_centre_id> data_centres_;
   std::deque<proposal> proposals_;
   std::vector<read_hook> confirmations_;
   std::vector<std::function<void()>> deferred_;
--- a/tests/control/control_state_machine_test.cc
+++ b/tests/control/control_state_machine_test.cc
@@ -14,7 +14,7 @@
   // sets, so that commands often conflict.
   std::string RandomCommand() {
     clock_.Advance(milliseconds(random_() % 20000));
-    const std::uint64_t choice = random_() % 8;
+    const std::uint64_t choice = random_() % 9;
     if (choice < 3 || ids_.empty()) {
       ids_.push_back(uuid::MakeV7(clock_.WallNow(), random_));
     }
@@ -38,6 +38,10 @@
       command.body = config_change{ids_[random_() % ids_.size()],
                                    config_version(random_() % 4), "doc",
                                    "digest" + std::to_string(random_() % 2)};
+    } else if (choice == 8) {
+      command.body =
+          evacuation_change{data_centre_id("d" + std::to_string(random_() % 3)),
+                            random_() % 2 == 0};
     } else {
       const refusal failure{refusal_reason::task_failed, run_outcome::ran,
                             "task " + std::to_string(random_() % 9)};
@@ -71,6 +75,8 @@
     REQUIRE(copy.Ledger().RunningOwners() == original.Ledger().RunningOwners());
   }
   CHECK(copy.Config().Newest() == original.Config().Newest());
+  CHECK(copy.Evacuations().Evacuations() ==
+        original.Evacuations().Evacuations());
   CHECK(copy.Ledger().Now() == original.Ledger().Now());
 }
 
