--- a/src/libalmond/processes/control_process_settings.h
+++ b/src/libalmond/processes/control_process_settings.h
@@ -43,7 +43,7 @@
   /// Number of places up to which the log grows while processes wait for one;
   /// 0 keeps the number of the bootstrap.
   std::size_t max_places = 0;
-  input_limits limits;
+  input_limits limits = {};
 };
 
 /// @param text "ID=IP:PORT/IP:PORT,..." with the addresses for replicas and for
