control client, replica links: shorter dials until a leader is reached

After a power loss, machines return within 0.3 s of each other. A machine without power neither accepts nor refuses a connection: an entry or agent waited 500 ms for it before it dialled the next address, and a refused connection was only retried by the dialer at the same address, without the client's knowledge. A redirect to the leader waited for up to 100 ms.

The first 8 dials since the last reply of a leader now have a timeout of 100 ms and follow each other after 25 ms; the client is told of a refused connection. Later dials are as before. Replicas repeat attempts after 150 ms and 50 ms instead of 1 s and 200 ms. A line names the leader that answers.

--- a/src/libalmond/net/peer_dialer.cc
+++ b/src/libalmond/net/peer_dialer.cc
@@ -53,11 +53,12 @@
       self->OnConnected(descriptor);
     } else {
       if (descriptor >= 0) close(descriptor);
-      self->ScheduleReconnect();
+      self->OnConnectFailed();
     }
   };
   bufferevent_setcb(connecting_, nullptr, nullptr, on_event, this);
-  const milliseconds limit = std::min(kConnectTimeout, timing_.receive_timeout);
+  const milliseconds limit =
+      std::min(timing_.connect_timeout, timing_.receive_timeout);
   const timeval timeout = {limit.count() / 1000, limit.count() % 1000 * 1000};
   bufferevent_set_timeouts(connecting_, nullptr, &timeout);
   const sockaddr_in raw = ToSockaddr(address_);
@@ -66,10 +67,15 @@
                                  sizeof(raw)) != 0 &&
       connecting_ != nullptr) {
     bufferevent_free(std::exchange(connecting_, nullptr));
-    ScheduleReconnect();
+    OnConnectFailed();
   }
 }
 
+void peer_dialer::OnConnectFailed() {
+  ScheduleReconnect();
+  if (hooks_.on_connect_failed) hooks_.on_connect_failed();
+}
+
 void peer_dialer::ScheduleReconnect() {
   reconnect_timer_ =
       loop_.After(timing_.reconnect_delay, [this] { Connect(); });
--- a/src/libalmond/net/peer_dialer.h
+++ b/src/libalmond/net/peer_dialer.h
@@ -12,14 +12,14 @@
 /// Maintains a connection to one address; reconnects after each failure.
 class peer_dialer {
  public:
-  /// Connect timeout, unless the link's receive timeout is shorter.
-  static constexpr milliseconds kConnectTimeout{1000};
-
   struct hooks {
     std::function<void()> on_connected;
     std::function<void(const frame&)> on_frame;
     /// Called with the reason when an established connection has ended.
     std::function<void(const std::string&)> on_closed;
+    /// Called when an attempt has failed; may be empty. The dialer must not be
+    /// destroyed during the call.
+    std::function<void()> on_connect_failed = {};
   };
 
   peer_dialer(event_loop& loop, const clock_interface& clock,
@@ -40,6 +40,7 @@
  private:
   void Connect();
   void ScheduleReconnect();
+  void OnConnectFailed();
   void OnConnected(int descriptor);
 
   event_loop& loop_;
--- a/src/libalmond/net/peer_link.h
+++ b/src/libalmond/net/peer_link.h
@@ -22,6 +22,9 @@
   /// Delay before the next connection attempt, after a link has ended or an
   /// attempt has failed.
   milliseconds reconnect_delay{200};
+  /// Time after which a connection attempt is given up, unless
+  /// `receive_timeout` is shorter.
+  milliseconds connect_timeout{1000};
 };
 
 /// A connection between two processes of the system that carries frames.
--- a/src/libalmond/processes/control_client.cc
+++ b/src/libalmond/processes/control_client.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "libalmond/core/logging.h"
 #include "libalmond/wire/control_codec.h"
 
 namespace almond {
@@ -53,11 +54,11 @@
   const steady_time now = clock_.SteadyNow();
   if (!has_dialled_) ScheduleRedial(std::nullopt);
   const bool connect_timed_out =
-      !connected_ && now - dialled_at_ >= kConnectTimeout;
+      !connected_ && now - dialled_at_ >= ConnectTimeout();
   if (connect_timed_out || now - last_reply_ >= timing_.reply_timeout) {
     ScheduleRedial(std::nullopt);
   }
-  if (redial_pending_ && now - dialled_at_ >= kMinRedialPeriod) Dial();
+  if (redial_pending_ && now - dialled_at_ >= RedialPeriod()) Dial();
   if (now - last_heartbeat_ >= timing_.heartbeat_period) SendHeartbeat();
   SendOpenRequests(kResendPeriod);
   ExpireRequests();
@@ -95,6 +96,10 @@
   ScheduleRedial(std::nullopt);
 }
 
+void control_client::OnConnectFailed() {
+  if (!connected_) ScheduleRedial(std::nullopt);
+}
+
 void control_client::SetAddresses(std::vector<socket_address> addresses) {
   addresses_ = std::move(addresses);
 }
@@ -199,7 +204,14 @@
 }
 
 void control_client::OnHeartbeatReply(const heartbeat_reply_message& reply) {
+  if (!leader_confirmed_) {
+    LOG(INFO) << "control leader " << target_.ToString()
+              << " answers after dials: " << dials_
+              << "; newest configuration version " << reply.newest
+              << ", listed entries: " << reply.entries.size();
+  }
   leaderless_replies_ = 0;
+  dials_ = 0;
   redial_pending_ = false;
   if (!std::exchange(leader_confirmed_, true)) SendOpenRequests(duration(0));
   hooks_.on_newest(reply.newest);
@@ -245,6 +257,14 @@
   redirect_ = std::move(address);
 }
 
+milliseconds control_client::ConnectTimeout() const {
+  return dials_ <= kFastDials ? kFastConnectTimeout : kConnectTimeout;
+}
+
+milliseconds control_client::RedialPeriod() const {
+  return dials_ <= kFastDials ? kFastRedialPeriod : kMinRedialPeriod;
+}
+
 void control_client::Dial() {
   if (redirect_) {
     target_ = *redirect_;
@@ -253,6 +273,7 @@
   }
   redirect_.reset();
   redial_pending_ = false;
+  ++dials_;
   if (has_dialled_) redials_.Add();
   has_dialled_ = true;
   connected_ = false;
--- a/src/libalmond/processes/control_client.h
+++ b/src/libalmond/processes/control_client.h
@@ -43,6 +43,10 @@
   /// Time after which the client gives up a connection attempt and dials the
   /// next address.
   static constexpr milliseconds kConnectTimeout{500};
+  /// The same for the first kFastDials attempts since the last reply of a
+  /// leader. A machine without power refuses no connection, and others may
+  /// already serve.
+  static constexpr milliseconds kFastConnectTimeout{100};
   /// Time after which an unanswered fetch of the configuration is repeated on
   /// the same connection. A large configuration takes longer than a heartbeat
   /// period on a slow link, and each repetition would delay it further.
@@ -50,6 +54,10 @@
   /// Minimum time between dials. Limits the dial rate while the control
   /// processes name different leaders and redirect the client in a circle.
   static constexpr milliseconds kMinRedialPeriod{100};
+  /// Minimum time between the first kFastDials dials since the last reply of a
+  /// leader.
+  static constexpr milliseconds kFastRedialPeriod{25};
+  static constexpr std::size_t kFastDials = 8;
   /// Number of heartbeats refused without a leader's address after which the
   /// client dials the next control process: this one may be partitioned from
   /// the others.
@@ -115,6 +123,8 @@
   void OnFrame(const frame& encoded);
   /// Call when the dialled connection is closed.
   void OnClosed();
+  /// Call when the dialled address has refused the connection.
+  void OnConnectFailed();
 
   /// Replaces the addresses of the control processes.
   /// @param addresses at least one
@@ -145,6 +155,8 @@
   void FetchConfig();
   void OnConfigReply(const fetch_config_reply_message& reply);
   void ScheduleRedial(std::optional<socket_address> address);
+  milliseconds ConnectTimeout() const;
+  milliseconds RedialPeriod() const;
   void Dial();
 
   const clock_interface& clock_;
@@ -158,6 +170,8 @@
   bool leader_confirmed_ =
       false;  // a heartbeat was answered on this connection
   int leaderless_replies_ = 0;
+  /// Number of dials since the last heartbeat that a leader answered.
+  std::size_t dials_ = 0;
   std::size_t abandoned_claims_ = 0;
   std::optional<socket_address> redirect_;
   bool redial_pending_ = false;
--- a/src/libalmond/processes/control_client_link.cc
+++ b/src/libalmond/processes/control_client_link.cc
@@ -30,7 +30,8 @@
         peer_dialer::hooks{
             [this] { client_.OnConnected(); },
             [this](const frame& message) { client_.OnFrame(message); },
-            [this](const std::string& /*reason*/) { client_.OnClosed(); }});
+            [this](const std::string& /*reason*/) { client_.OnClosed(); },
+            [this] { client_.OnConnectFailed(); }});
   };
   callbacks.send = [this](const frame& message) { dialer_->Send(message); };
   return callbacks;
--- a/src/libalmond/processes/replica_host_links.cc
+++ b/src/libalmond/processes/replica_host_links.cc
@@ -6,6 +6,16 @@
 #include "libalmond/wire/replication_codec.h"
 
 namespace almond {
+namespace {
+
+/// Attempts to connect to a machine without power are not refused. They are
+/// repeated soon, so that replicas that start together reach each other before
+/// their first election timeouts.
+constexpr link_timing kReplicaLinkTiming{link_timing().ping_period,
+                                         link_timing().receive_timeout,
+                                         milliseconds(50), milliseconds(150)};
+
+}  // namespace
 
 replica_host_links::replica_host_links(event_loop& loop,
                                        const clock_interface& clock,
@@ -31,7 +41,8 @@
       loop_, clock_, peer.replication,
       peer_dialer::hooks{[] {},
                          [this](const frame& encoded) { Receive(encoded); },
-                         [](const std::string&) {}});
+                         [](const std::string&) {}},
+      kReplicaLinkTiming);
 }
 
 void replica_host_links::Send(const replica_message& message) {
--- a/tests/control_client/control_client_test.cc
+++ b/tests/control_client/control_client_test.cc
@@ -199,6 +199,42 @@
   }
 }
 
+// Guards against a start that waits for machines that are still without power
+// while others already serve, and against dials at this rate for long.
+TEST_CASE_METHOD(control_client_fixture,
+                 "control client / no leader since the start / other addresses "
+                 "are dialled soon") {
+  client_.OnClosed();
+  AdvanceBy(control_client::kFastRedialPeriod, false);
+  REQUIRE(dialled_ports_ == std::vector{1, 2});
+  SECTION("unanswered connection attempts") {
+    AdvanceBy(control_client::kFastConnectTimeout, false);
+    CHECK(dialled_ports_ == std::vector{1, 2, 3});
+    AdvanceBy(control_client::kFastConnectTimeout, false);
+    CHECK(dialled_ports_ == std::vector{1, 2, 3, 1});
+    AdvanceBy(milliseconds(10000), false);
+    CHECK(dialled_ports_.size() < 30);
+  }
+  SECTION("refused connection") {
+    client_.OnConnectFailed();
+    AdvanceBy(control_client::kFastRedialPeriod, false);
+    CHECK(dialled_ports_ == std::vector{1, 2, 3});
+  }
+  SECTION("refused connections for 10 s") {
+    for (int tick = 0; tick < 400; ++tick) {
+      client_.OnConnectFailed();
+      AdvanceBy(control_client::kTickPeriod, false);
+    }
+    CHECK(dialled_ports_.size() < 110);
+  }
+  SECTION("redirect by the first process that is reached") {
+    client_.OnConnected();
+    Reply(sent_.back().number, not_leader_message{"127.0.0.1:9"});
+    AdvanceBy(control_client::kFastRedialPeriod, false);
+    CHECK(dialled_ports_ == std::vector{1, 2, 9});
+  }
+}
+
 // Guards against a request that is lost with the leader that received it.
 TEST_CASE_METHOD(control_client_fixture,
                  "control client / leader changes / open requests resent") {
