control process: a leader answers processes once its state is current

A new leader answered heartbeats before it had applied the entries that earlier leaders had committed. After a restart of all control processes it reported an old version: an entry without a configuration fetched none until its next heartbeat, 250 ms later, and one that had an older configuration took it for the newest.

replica::IsEstablished is true once the first entry of the term is applied. Until then processes are told that there is no leader. The hook for leader changes is also called when that is reached, and when a follower loses or finds a leader. A line tells when a leader is established.

--- a/src/libalmond/processes/control_process.cc
+++ b/src/libalmond/processes/control_process.cc
@@ -55,10 +55,12 @@
             host_->Propose(std::move(command), std::move(on_end));
           },
           [this](read_hook on_end) { host_->ConfirmRead(std::move(on_end)); },
-          [this] { return IsLeader(); },
+          [this] { return IsLeader() && host_->IsEstablished(); },
           [this] {
             const auto leader = LeaderAddress();
-            return leader ? leader->control.ToString() : "";
+            return leader && leader->id != settings_.id
+                       ? leader->control.ToString()
+                       : "";
           },
           [this](std::function<void()> call) {
             loop_.Post(milliseconds(0), std::move(call));
--- a/src/libalmond/processes/replica_host.cc
+++ b/src/libalmond/processes/replica_host.cc
@@ -80,6 +80,10 @@
   return implementation_->Replica().IsLeader();
 }
 
+bool replica_host::IsEstablished() const {
+  return implementation_->Replica().IsEstablished();
+}
+
 std::optional<replica_address> replica_host::Leader() const {
   const replica_address* address = implementation_->AddressOf(LeaderId());
   if (address == nullptr) return std::nullopt;
--- a/src/libalmond/processes/replica_host.h
+++ b/src/libalmond/processes/replica_host.h
@@ -54,7 +54,9 @@
     std::function<std::string()> snapshot;
     /// Replaces the state by an earlier result of `snapshot`.
     std::function<void(const std::string&)> restore;
-    /// Called after this replica became or ceased to be the leader; optional.
+    /// Called after this replica became or ceased to be the leader, after it
+    /// became an established one, and after a follower has lost its leader or
+    /// follows another; optional.
     std::function<void()> on_leader_change;
   };
 
@@ -87,6 +89,8 @@
   void SetPeerAddress(const replica_id& id, const socket_address& replication);
 
   bool IsLeader() const;
+  /// @returns see replica::IsEstablished
+  bool IsEstablished() const;
   /// @returns the leader's addresses, or nothing if no leader is known
   std::optional<replica_address> Leader() const;
   /// @returns the leader's id, empty if no leader is known
--- a/src/libalmond/processes/replica_host_implementation.cc
+++ b/src/libalmond/processes/replica_host_implementation.cc
@@ -219,6 +219,8 @@
     candidate_term_ = status.term;
     metrics_.Counter("almond_log_elections_total").Add();
   }
+  bool changed = status.leader != followed_leader_;
+  followed_leader_ = status.leader;
   if (!status.leader.Empty() && status.leader != known_leader_) {
     known_leader_ = status.leader;
     metrics_.Counter("almond_log_leader_changes_total").Add();
@@ -227,10 +229,19 @@
   }
   ReportMembership(status);
   if (leader_ != replica_.IsLeader()) {
+    changed = true;
     leader_ = replica_.IsLeader();
     if (!leader_) LOG(INFO) << "control log: no longer the leader";
-    if (machine_.on_leader_change) machine_.on_leader_change();
   }
+  if (established_ != replica_.IsEstablished()) {
+    changed = true;
+    established_ = replica_.IsEstablished();
+    if (established_) {
+      LOG(INFO) << "control log: the leader of term " << status.term
+                << " has applied all entries up to " << status.applied_index;
+    }
+  }
+  if (changed && machine_.on_leader_change) machine_.on_leader_change();
 }
 
 void replica_host::implementation::ReportMembership(
--- a/src/libalmond/processes/replica_host_implementation.h
+++ b/src/libalmond/processes/replica_host_implementation.h
@@ -67,6 +67,8 @@
 
   // Values that were last reported in log lines, metrics and hooks.
   bool leader_ = false;
+  bool established_ = false;
+  replica_id followed_leader_;
   replica_id known_leader_;
   log_term candidate_term_ = 0;
   bool admitted_ = false;
--- a/src/libalmond/replication/replica.h
+++ b/src/libalmond/replication/replica.h
@@ -96,6 +96,12 @@
   persistent_state DurableState() const;
 
   bool IsLeader() const { return role_ == replica_role::leader; }
+  /// @returns true if this replica is the leader and has applied all entries
+  ///   that were committed before its term, so that its state is not older than
+  ///   what earlier leaders have acknowledged
+  bool IsEstablished() const {
+    return IsLeader() && applied_index_ >= term_start_index_;
+  }
   replica_status Status() const;
   /// @returns the leader that may be named to others: this replica while it has
   ///   contact with a majority, or one that it has heard from within
--- a/tests/replication/replica_start_test.cc
+++ b/tests/replication/replica_start_test.cc
@@ -36,6 +36,34 @@
   CHECK(slow <= 4);
 }
 
+// Guards against a leader that answers processes before it has applied what
+// earlier leaders have acknowledged.
+TEST_CASE_METHOD(replica_start_fixture,
+                 "replica / all start together / leader is established once it "
+                 "has applied all that was acknowledged") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    log_simulation simulation(seed, kReplicas);
+    REQUIRE(AwaitLeader(simulation, milliseconds(10000)));
+    for (int i = 0; i < 5; ++i) {
+      simulation.Propose(simulation.Leader());
+      simulation.RunUntil(milliseconds(100), [] { return false; });
+    }
+    const replica_status before =
+        simulation.Replica(simulation.Leader()).Status();
+    REQUIRE(before.applied_index >= 5);
+    KillAllReplicas(simulation);
+    for (int i = 0; i < kReplicas; ++i) simulation.Start(i);
+    REQUIRE(AwaitLeader(simulation, milliseconds(10000)));
+    CHECK_FALSE(simulation.Replica(simulation.Leader()).IsEstablished());
+    REQUIRE(simulation.RunUntil(milliseconds(1000), [&] {
+      const int leader = simulation.Leader();
+      return leader >= 0 && simulation.Replica(leader).IsEstablished();
+    }));
+    CHECK(simulation.Replica(simulation.Leader()).Status().applied_index >=
+          before.applied_index);
+  }
+}
+
 // Guards against operators and processes that are sent to a frozen leader until
 // the next election.
 TEST_CASE_METHOD(replica_start_fixture,
--- a/tests/replication/simulated_replica.h
+++ b/tests/replication/simulated_replica.h
@@ -39,6 +39,7 @@
   replica_id LiveLeader(steady_time now) const {
     return replica_->LiveLeader(now);
   }
+  bool IsEstablished() const { return replica_->IsEstablished(); }
   replica_incarnation Incarnation() const { return settings_.incarnation; }
   const replica_id& Id() const { return settings_.self; }
 
