control service: waiting processes are answered as soon as there is news

Processes learned of a new leader by their next heartbeat, 50 ms later or after they had dialled another address; an agent that asked the leader before the entries had reported themselves had none or a few until its next heartbeat, 250 ms later.

A control process without a leader keeps the latest heartbeat of each process and answers it again once a leader is known. For 3 s after its election, a leader sends its agents the list of entries again when it has grown, at most each 50 ms and 0.1 ms for each agent. Nothing is sent in addition in calm.

--- a/src/libalmond/controllers/control/control_service.cc
+++ b/src/libalmond/controllers/control/control_service.cc
@@ -24,7 +24,12 @@
                              reply_hook on_reply) {
   UpdateLeadership();
   if (!leader_) {
-    on_reply(MakeNotLeaderReply());
+    const auto* heartbeat = std::get_if<heartbeat_message>(&request);
+    const not_leader_message reply = MakeNotLeaderReply();
+    if (heartbeat != nullptr && reply.leader_address.empty()) {
+      leaderless_.Add({*heartbeat, on_reply, clock_.SteadyNow()});
+    }
+    on_reply(reply);
     return;
   }
   std::visit(
@@ -140,12 +145,62 @@
 void control_service::UpdateLeadership() {
   const bool leader = hooks_.is_leader();
   if (leader && !leader_) directory_.RestartGracePeriod();
+  if (!leader) list_users_.Clear();
   leader_ = leader;
+  AnswerWaiting();
+}
+
+void control_service::AnswerWaiting() {
+  if (leaderless_.Size() == 0) return;
+  if (!leader_ && hooks_.leader_address().empty()) return;
+  for (const waiting_heartbeat& waiting :
+       leaderless_.Take(clock_.SteadyNow() - kMaxHeartbeatWait)) {
+    if (leader_) {
+      Serve(waiting.message, waiting.on_reply);
+    } else {
+      waiting.on_reply(MakeNotLeaderReply());
+    }
+  }
 }
 
 void control_service::Serve(const heartbeat_message& message,
                             const reply_hook& on_reply) {
   directory_.RecordHeartbeat(message);
+  const heartbeat_reply_message reply = MakeHeartbeatReply(message);
+  on_reply(reply);
+  if (directory_.IsComplete()) {
+    list_users_.Clear();
+    return;
+  }
+  if (message.role == process_role::agent) {
+    waiting_heartbeat user{message, on_reply, clock_.SteadyNow()};
+    user.message.entries_digest = reply.entries_digest;
+    list_users_.Add(std::move(user));
+  }
+  UpdateLists();
+}
+
+void control_service::UpdateLists() {
+  const steady_time now = clock_.SteadyNow();
+  if (now - last_list_update_ <
+      kMinListUpdatePeriod + kListUpdatePeriodPerAgent * list_users_.Size()) {
+    return;
+  }
+  const std::uint64_t digest = directory_.LiveProcesses().entries_digest;
+  if (digest == std::exchange(listed_digest_, digest)) return;
+  for (waiting_heartbeat& user :
+       list_users_.Take(now - process_directory::kLivenessTimeout)) {
+    if (user.message.entries_digest != digest) {
+      user.on_reply(MakeHeartbeatReply(user.message));
+      user.message.entries_digest = digest;
+      last_list_update_ = now;
+    }
+    list_users_.Add(std::move(user));
+  }
+}
+
+heartbeat_reply_message control_service::MakeHeartbeatReply(
+    const heartbeat_message& message) {
   heartbeat_reply_message reply;
   // A leader that has been replaced and does not know it yet may report an
   // older version; processes ignore versions below their own.
@@ -159,7 +214,7 @@
     reply.takeovers = machine_.Ledger().TakenOver(
         {entry_id(message.id), message.incarnation}, kMaxTakeoversPerReply);
   }
-  on_reply(reply);
+  return reply;
 }
 
 void control_service::Serve(const fetch_config_message& /*message*/,
--- a/src/libalmond/controllers/control/control_service.h
+++ b/src/libalmond/controllers/control/control_service.h
@@ -1,6 +1,7 @@
 #ifndef ALMOND_CONTROLLERS_CONTROL_CONTROL_SERVICE_H_
 #define ALMOND_CONTROLLERS_CONTROL_CONTROL_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "libalmond/controllers/control/control_command.h"
 #include "libalmond/controllers/control/control_state_machine.h"
 #include "libalmond/controllers/control/process_directory.h"
+#include "libalmond/controllers/control/waiting_heartbeats.h"
 #include "libalmond/core/clock.h"
 #include "libalmond/core/control_messages.h"
 #include "libalmond/core/metrics.h"
@@ -53,6 +55,17 @@
   /// once these have ended.
   static constexpr std::size_t kMaxTakeoversPerReply = 1024;
 
+  /// Maximum age of a heartbeat that is answered again once the leader is
+  /// known. Longer than the period at which clients without a leader repeat
+  /// theirs.
+  static constexpr milliseconds kMaxHeartbeatWait{250};
+  /// Minimum time between updates of the list of entries at the agents, while
+  /// a new leader hears from the entries for the first time.
+  static constexpr milliseconds kMinListUpdatePeriod{50};
+  /// Addition to that time for each agent, so that many agents do not receive
+  /// long lists faster than by their own heartbeats.
+  static constexpr std::chrono::microseconds kListUpdatePeriodPerAgent{100};
+
   /// Functions of the replica and the event loop that the service uses.
   struct hooks {
     /// Proposes a command. Calls back asynchronously and without a time limit:
@@ -60,8 +73,11 @@
     std::function<void(std::string, proposal_hook)> propose;
     /// Confirms that a read is not stale; calls back asynchronously.
     std::function<void(read_hook)> confirm_read;
+    /// @returns true if this replica is the leader and its state includes all
+    ///   that was acknowledged by earlier leaders
     std::function<bool()> is_leader;
-    /// Address at which processes reach the leader; empty if unknown.
+    /// Address at which processes reach the leader; empty if unknown, or if
+    /// this replica will be one that fits `is_leader`.
     std::function<std::string()> leader_address;
     /// Calls back in the next iteration of the event loop.
     std::function<void(std::function<void()>)> defer;
@@ -118,7 +134,8 @@
   /// To be called every kTickPeriod. Takes over submissions of dead owners and
   /// answers changes that have reached kChangeTimeout.
   void Tick();
-  /// To be called after a leader change.
+  /// To be called after a leader change. Answers the processes that wait for a
+  /// leader.
   void UpdateLeadership();
 
   const process_directory& Directory() const { return directory_; }
@@ -134,6 +151,10 @@
   void Serve(const ledger_claim_message& message, const reply_hook& on_reply);
   void Serve(const ledger_finish_message& message, const reply_hook& on_reply);
   void Serve(const ledger_read_message& message, const reply_hook& on_reply);
+  heartbeat_reply_message MakeHeartbeatReply(const heartbeat_message& message);
+  void AnswerWaiting();
+  /// Sends the list of entries to the agents that have an older one.
+  void UpdateLists();
   not_leader_message MakeNotLeaderReply();
   /// Proposes a command and calls `on_result` once it is committed; otherwise
   /// replies that this replica is not the leader.
@@ -159,6 +180,10 @@
   bool leader_ = false;
   steady_time last_tick_;
   wall_time last_command_time_{};
+  waiting_heartbeats leaderless_;  ///< until a leader is known
+  waiting_heartbeats list_users_;  ///< agents, until all entries are known
+  steady_time last_list_update_;
+  std::uint64_t listed_digest_ = 0;  ///< that all of `list_users_` have
   std::vector<read_hook> pending_reads_;
   std::vector<std::shared_ptr<pending_change>> pending_changes_;
   std::size_t takeovers_in_flight_ = 0;
--- a/src/libalmond/controllers/control/process_directory.cc
+++ b/src/libalmond/controllers/control/process_directory.cc
@@ -98,10 +98,7 @@
 }
 
 std::uint32_t process_directory::AlikeAgents(const std::string& endpoint_kind) {
-  if (endpoint_kind.empty() ||
-      clock_.SteadyNow() - grace_start_ < kLivenessTimeout) {
-    return 0;
-  }
+  if (endpoint_kind.empty() || !IsComplete()) return 0;
   const auto& numbers = LiveProcesses().agents_by_kind;
   const auto found = numbers.find(endpoint_kind);
   return found == numbers.end() ? 0 : found->second;
--- a/src/libalmond/controllers/control/process_directory.h
+++ b/src/libalmond/controllers/control/process_directory.h
@@ -49,6 +49,11 @@
   /// Declares no owner dead for the next kOwnerTimeout. Called by a new leader,
   /// and by a leader that was suspended and may have unread heartbeats.
   void RestartGracePeriod();
+  /// @returns true if each live process has had the time to send a heartbeat
+  ///   since the last call of RestartGracePeriod
+  bool IsComplete() const {
+    return clock_.SteadyNow() - grace_start_ >= kLivenessTimeout;
+  }
   /// Records a heartbeat. While a process is live, a heartbeat of a lower
   /// incarnation is a delayed one and is ignored.
   void RecordHeartbeat(const heartbeat_message& heartbeat);
--- a/tests/control/control_service_fixture.h
+++ b/tests/control/control_service_fixture.h
@@ -35,7 +35,7 @@
             [this](read_hook on_end) {
               confirmations_.push_back(std::move(on_end));
             },
-            [this] { return leader_; }, [] { return "127.0.0.1:7102"; },
+            [this] { return leader_; }, [this] { return leader_address_; },
             [this](std::function<void()> call) {
               deferred_.push_back(std::move(call));
             },
@@ -115,6 +115,7 @@
   metrics_registry metrics_;
   control_state_machine machine_;
   bool leader_ = true;
+  std::string leader_address_ = "127.0.0.1:7102";
   std::deque<proposal> proposals_;
   std::vector<read_hook> confirmations_;
   std::vector<std::function<void()>> deferred_;
--- a/tests/control/control_service_test.cc
+++ b/tests/control/control_service_test.cc
@@ -71,6 +71,87 @@
   }
 }
 
+// Guards against processes that learn of a leader only by their next
+// heartbeats, and against a new leader that answers from an old state.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / heartbeat during an election / answered "
+                 "again once there is a leader") {
+  leader_ = false;
+  leader_address_ = "";
+  heartbeat_message beat;
+  beat.id = "entry-1";
+  Send(beat);
+  CHECK(Last<not_leader_message>().leader_address.empty());
+  service_->UpdateLeadership();
+  CHECK(replies_.empty());
+  SECTION("this process") {
+    leader_ = true;
+    service_->UpdateLeadership();
+    REQUIRE(replies_.size() == 1);
+    CHECK(Last<heartbeat_reply_message>().entries.size() == 1);
+  }
+  SECTION("another process") {
+    leader_address_ = "127.0.0.1:9";
+    service_->UpdateLeadership();
+    REQUIRE(replies_.size() == 1);
+    CHECK(Last<not_leader_message>().leader_address == "127.0.0.1:9");
+  }
+  SECTION("only the latest heartbeat of a process") {
+    Send(beat);
+    replies_.clear();
+    leader_ = true;
+    service_->UpdateLeadership();
+    CHECK(replies_.size() == 1);
+  }
+  SECTION("a heartbeat that is older than its repetition") {
+    clock_.Advance(control_service::kMaxHeartbeatWait + milliseconds(1));
+    leader_ = true;
+    service_->UpdateLeadership();
+    CHECK(replies_.empty());
+  }
+}
+
+// Guards against agents without entries until their next heartbeats, and
+// against lists that are sent again while nothing has changed.
+TEST_CASE_METHOD(control_service_fixture,
+                 "control service / entry unknown to a new leader / listed to "
+                 "the agents at once") {
+  const auto send = [this](process_role role, const std::string& id) {
+    heartbeat_message beat;
+    beat.role = role;
+    beat.id = id;
+    Send(beat);
+  };
+  SECTION("first heartbeat of the entry") {
+    send(process_role::agent, "agent-1");
+    CHECK(Last<heartbeat_reply_message>().entries.empty());
+    clock_.Advance(milliseconds(100));
+    send(process_role::entry, "entry-1");
+    REQUIRE(replies_.size() == 2);
+    CHECK(Last<heartbeat_reply_message>().entries.size() == 1);
+    clock_.Advance(milliseconds(100));
+    send(process_role::entry, "entry-1");
+    CHECK(replies_.size() == 1);
+  }
+  SECTION("several entries in a short time") {
+    send(process_role::agent, "agent-1");
+    send(process_role::entry, "entry-1");
+    send(process_role::entry, "entry-2");
+    CHECK(replies_.size() == 4);
+    clock_.Advance(milliseconds(100));
+    send(process_role::entry, "entry-2");
+    REQUIRE(replies_.size() == 6);
+    CHECK(Last<heartbeat_reply_message>().entries.size() == 2);
+  }
+  SECTION("leader that knows all processes") {
+    clock_.Advance(process_directory::kLivenessTimeout);
+    send(process_role::agent, "agent-1");
+    clock_.Advance(milliseconds(100));
+    send(process_role::entry, "entry-1");
+    CHECK(replies_.size() == 2);
+  }
+}
+
 // Guards against a claim that is accepted or never answered although no record
 // could be stored.
 TEST_CASE_METHOD(control_service_fixture,
