Evacuations: an entry keeps the grants of agents that are cut off

Grants that an entry dropped because of an evacuation stayed booked at an agent that does not know of it, and returned ones would be granted again at once. The entry now keeps them and starts nothing with them. The settings field data_centres moves to the end, so that positional initialisers still fit.

--- a/src/libalmond/controllers/entry/agent_record.h
+++ b/src/libalmond/controllers/entry/agent_record.h
@@ -49,11 +49,13 @@
   void OnLateAnswer(const task_name& name) {
     if (abandoned.erase(name) > 0) unacknowledged.push_back(name);
   }
-  /// @returns true if tasks may be sent to the agent
+  /// @returns true if the agent may hold grants for this entry
   bool Usable() const {
-    return link && !evacuated && !announced.leaving && announced.slots > 0 &&
+    return link && !announced.leaving && announced.slots > 0 &&
            !announced.service.Empty();
   }
+  /// @returns true if tasks may be sent to the agent
+  bool TakesStarts() const { return Usable() && !evacuated; }
   /// @returns true if the whole endpoint is large enough; an announced size of
   ///   0 means no limit
   bool Fits(const task_size& size) const {
--- a/src/libalmond/controllers/entry/dispatch_controller.cc
+++ b/src/libalmond/controllers/entry/dispatch_controller.cc
@@ -39,6 +39,7 @@
   const auto found = links_.find(link);
   if (found == links_.end()) return std::nullopt;
   const agent_record& agent = agents_.at(found->second);
+  if (agent.evacuated) return std::nullopt;
   const std::size_t running = in_flight_.CountAt(found->second);
   const double success = agent.health.SuccessRate();
   const double mean_success =
@@ -234,7 +235,7 @@
   const auto& agents = found->second->agents;
   return static_cast<std::size_t>(std::count_if(
       agents.begin(), agents.end(),
-      [this](const agent_id& id) { return agents_.at(id).Usable(); }));
+      [this](const agent_id& id) { return agents_.at(id).TakesStarts(); }));
 }
 
 std::size_t dispatch_controller::Ejected(const service_id& service) const {
@@ -244,7 +245,7 @@
   return static_cast<std::size_t>(
       std::count_if(agents.begin(), agents.end(), [this](const agent_id& id) {
         const agent_record& agent = agents_.at(id);
-        return agent.Usable() && agent.health.Ejected();
+        return agent.TakesStarts() && agent.health.Ejected();
       }));
 }
 
@@ -255,7 +256,7 @@
   const auto& agents = found->second->agents;
   return std::any_of(agents.begin(), agents.end(), [&](const agent_id& id) {
     const agent_record& agent = agents_.at(id);
-    return agent.Usable() && agent.Fits(size);
+    return agent.TakesStarts() && agent.Fits(size);
   });
 }
 
@@ -263,17 +264,21 @@
                                               const team_id& team) {
   service_state& state = Service(service);
   std::size_t slots = 0;
+  std::size_t unusable_grants = 0;
   for (const agent_id& id : state.agents) {
     const agent_record& agent = agents_.at(id);
-    if (agent.Usable() && !agent.health.Ejected()) {
+    if (agent.TakesStarts() && !agent.health.Ejected()) {
       slots += agent.announced.slots;
     }
+    if (agent.evacuated && agent.link) {
+      unusable_grants += state.grants.CountOf(*agent.link);
+    }
   }
   service_load load;
   load.agents = AgentCount(service);
   load.queued = state.queue.size();
   load.team_queued = state.queue.TeamSize(team);
-  load.grants = state.grants.size();
+  load.grants = state.grants.size() - unusable_grants;
   load.team_share = state.queue.TeamShare(team);
   load.tasks_per_second = state.rate.TasksPerSecond(clock_.SteadyNow(), slots);
   load.run_time_p90 = state.rate.RunTimeP90();
--- a/src/libalmond/controllers/entry/dispatch_messages.cc
+++ b/src/libalmond/controllers/entry/dispatch_messages.cc
@@ -65,10 +65,11 @@
 }
 
 void dispatch_controller::SetEvacuations(const evacuation_list& list) {
+  // Grants of evacuated agents are kept. An agent that is cut off from the
+  // control leader would grant returned ones again.
   evacuations_ = list;
   for (auto& [id, agent] : agents_) {
     agent.evacuated = evacuations_.Contains(agent.announced.data_centre);
-    if (agent.evacuated && agent.link) ReturnGrants(*agent.link, UINT32_MAX);
   }
 }
 
--- a/src/libalmond/controllers/entry/dispatch_tick.cc
+++ b/src/libalmond/controllers/entry/dispatch_tick.cc
@@ -88,7 +88,7 @@
       *state.refused_at + kOverloadPeriod > clock_.SteadyNow();
   for (const agent_id& id : state.agents) {
     agent_record& agent = agents_.at(id);
-    if (!agent.Usable()) continue;
+    if (!agent.TakesStarts()) continue;
     // Each agent is told its share of the backlog. If each were told the whole,
     // every agent would suspend a long task for the same queued task. An
     // ejected endpoint is only probed, so its slots are free for other entries.
--- a/src/libalmond/controllers/entry/grant_pool.cc
+++ b/src/libalmond/controllers/entry/grant_pool.cc
@@ -55,6 +55,11 @@
 
 void grant_pool::RemoveAgent(link_id agent) { agents_.erase(agent); }
 
+std::size_t grant_pool::CountOf(link_id agent) const {
+  const auto position = agents_.find(agent);
+  return position == agents_.end() ? 0 : position->second.size();
+}
+
 std::size_t grant_pool::size() {
   DropExpired();
   std::size_t total = 0;
--- a/src/libalmond/controllers/entry/grant_pool.h
+++ b/src/libalmond/controllers/entry/grant_pool.h
@@ -52,6 +52,8 @@
   void Renew(link_id agent, milliseconds lease);
   /// Removes the grants of a disconnected agent.
   void RemoveAgent(link_id agent);
+  /// @returns number of grants of an agent
+  std::size_t CountOf(link_id agent) const;
   /// @returns number of usable grants
   std::size_t size();
 
--- a/src/libalmond/processes/control_process_settings.h
+++ b/src/libalmond/processes/control_process_settings.h
@@ -29,14 +29,14 @@
   std::string id;
   std::string cluster;
   data_centre_id data_centre;
-  /// Data centres of the deployment; empty if they are not known.
-  std::vector<data_centre_id> data_centres;
   std::vector<control_address> replicas;  ///< all, including this one
   socket_address listen_peer;
   socket_address listen_control;
   socket_address listen_http;
   std::string data_dir;
   bool bootstrap = false;
+  /// Data centres of the deployment; empty if they are not known.
+  std::vector<data_centre_id> data_centres = {};
 };
 
 /// @param text "ID=IP:PORT/IP:PORT,..." with the addresses for replicas and for
