--- a/src/libalmond/processes/control_process_settings.h
+++ b/src/libalmond/processes/control_process_settings.h
@@ -32,8 +32,6 @@
   std::string id;
   std::string cluster;
   data_centre_id data_centre;
-  /// Data centres of the deployment; empty if they are not known.
-  std::vector<data_centre_id> data_centres;
   std::vector<control_address> replicas;  ///< all, including this one
   socket_address listen_peer;
   socket_address listen_control;
@@ -44,6 +42,8 @@
   /// 0 keeps the number of the bootstrap.
   std::size_t max_places = 0;
   input_limits limits = {};
+  /// Data centres of the deployment; empty if they are not known.
+  std::vector<data_centre_id> data_centres = {};
 };
 
 /// @param text "ID=IP:PORT/IP:PORT,..." with the addresses for replicas and for
