load_simulation: uneven jobs and endpoints, wide jobs and wasted work counted

The simulation knew one width and size for each kind and equal endpoints, so that effects on wide jobs and large tasks could not be seen. Kinds can now have spreads of width and CPU need, endpoints differ in size and speed, runs report progress, and results count the jobs of more than 1.5 times the usual width and the work thrown away.

--- a/tests/entry_jobs/load_simulation.cc
+++ b/tests/entry_jobs/load_simulation.cc
@@ -55,6 +55,18 @@
           MakeKind("narrow", 0.711, 2, milliseconds(170), 1, cpu_milli)};
 }
 
+std::vector<load_kind> UnevenLoad(std::int64_t cpu_milli) {
+  std::vector<load_kind> kinds = MixedLoad(cpu_milli);
+  kinds[0].work = milliseconds(60);
+  kinds[1].work = milliseconds(900);
+  kinds[2].work = milliseconds(200);
+  for (load_kind& kind : kinds) {
+    kind.width_spread = 0.4;
+    kind.cpu_spread = 0.2;
+  }
+  return kinds;
+}
+
 struct load_simulation::entry_node {
   entry_node(std::size_t number, load_simulation& owner)
       : random(owner.random_()),
@@ -132,6 +144,7 @@
   struct run {
     steady_time since;
     std::int64_t cpu_milli = 0;
+    duration time{};
   };
   std::map<run_key, run> running;
   std::vector<listed_end> ended;
@@ -157,7 +170,7 @@
     endpoint.service = service_id("s");
     endpoint.incarnation = 1;
     endpoint.sequence = 1;
-    endpoint.total = {settings_.endpoint_cpu_milli, 1'000'000, 0};
+    endpoint.total = {CpuMilli(i), 1'000'000, 0};
     agents_.back()->runs.OnAnnouncement(endpoint);
   }
   TickAll();
@@ -172,17 +185,19 @@
   std::vector<double> shares;
   for (const load_kind& kind : kinds_) {
     shares.push_back(kind.share);
-    work += kind.share * kind.width * kind.work.count() * kind.cpu_milli / 1e3;
+    // Accounts for the means of the log-normal spreads.
+    work += kind.share * kind.width * kind.work.count() * kind.cpu_milli / 1e3 *
+            std::exp((kind.width_spread * kind.width_spread +
+                      kind.cpu_spread * kind.cpu_spread) /
+                     2);
   }
-  const double capacity = settings_.endpoint_cpu_milli / 1e3 *
-                          static_cast<double>(settings_.endpoints);
   std::discrete_distribution<std::size_t> choose(shares.begin(), shares.end());
   // Accounts for the means of the log-normal spreads and for the tasks in the
   // tail.
   work *= std::exp(settings_.spread * settings_.spread / 2) *
           std::exp(kTaskSpread * kTaskSpread / 2) *
           (1 + settings_.tail * (kTailFactor - 1));
-  std::exponential_distribution<double> interarrival(load * capacity / work);
+  std::exponential_distribution<double> interarrival(load * Capacity() / work);
   const steady_time end = clock_.SteadyNow() + time;
   for (steady_time next = clock_.SteadyNow() + FromMs(interarrival(random_));
        next < end; next += FromMs(interarrival(random_))) {
@@ -195,15 +210,33 @@
   ++measurement_;
   measurement_start_ = clock_.SteadyNow();
   used_core_ms_ = 0;
+  wasted_core_ms_ = 0;
   messages_ = 0;
   started_before_ = Started();
   results_.assign(kinds_.size(), result());
 }
 
 double load_simulation::Utilisation() const {
-  return used_core_ms_ / (settings_.endpoint_cpu_milli / 1e3 *
-                          static_cast<double>(settings_.endpoints) *
-                          Ms(clock_.SteadyNow() - measurement_start_));
+  return used_core_ms_ /
+         (Capacity() * Ms(clock_.SteadyNow() - measurement_start_));
+}
+
+double load_simulation::Capacity() const {
+  double capacity = 0;
+  for (std::size_t i = 0; i < settings_.endpoints; ++i) {
+    capacity += static_cast<double>(CpuMilli(i)) / 1e3 * Speed(i);
+  }
+  return capacity;
+}
+
+double load_simulation::Speed(std::size_t agent) const {
+  return settings_.speeds[agent % settings_.speeds.size()];
+}
+
+std::int64_t load_simulation::CpuMilli(std::size_t agent) const {
+  return static_cast<std::int64_t>(
+      static_cast<double>(settings_.endpoint_cpu_milli) *
+      settings_.sizes[agent % settings_.sizes.size()]);
 }
 
 double load_simulation::RefusedStarts() const {
@@ -284,11 +317,16 @@
   const milliseconds estimate(
       static_cast<std::int64_t>(1 + static_cast<double>(work.count()) *
                                         Spread(settings_.estimate_error)));
-  request.steps = {{kind.width, {kind.cpu_milli, 1, 0}, estimate, {}}};
+  const auto width = static_cast<std::uint32_t>(std::lround(std::clamp(
+      kind.width * Spread(kind.width_spread), 1.0, kind.width * 4.0)));
+  const auto cpu_milli =
+      static_cast<std::int64_t>(static_cast<double>(kind.cpu_milli) *
+                                std::min(Spread(kind.cpu_spread), 1.5));
+  request.steps = {{width, {cpu_milli, 1, 0}, estimate, {}}};
   // The tasks of a job differ slightly; those in the tail take far longer.
   std::bernoulli_distribution tail(settings_.tail);
   std::vector<double>& tasks = work_[request.id];
-  for (std::uint32_t i = 0; i < kind.width; ++i) {
+  for (std::uint32_t i = 0; i < width; ++i) {
     tasks.push_back(static_cast<double>(work.count()) * Spread(kTaskSpread) *
                     (tail(random_) ? kTailFactor : 1));
   }
@@ -297,24 +335,38 @@
              Ms(kind.rule.slack));
   request.timeout =
       std::max(kCallerTime, std::chrono::ceil<milliseconds>(1.5 * objective));
+  const bool wide = width > 1.5 * kind.width;
   ++results_[number].jobs;
+  if (wide) ++results_[number].wide_jobs;
   entries_[ChooseEntry()]->jobs.Submit(
       kind.rule, request,
-      [this, number, objective, measurement = measurement_,
+      [this, number, wide, objective, id = request.id,
+       measurement = measurement_,
        arrived = clock_.SteadyNow()](const job_answer& answer) {
+        const auto used = job_core_ms_.extract(id);
         if (measurement != measurement_) return;
-        result& counted = results_[number];
-        const duration took = clock_.SteadyNow() - arrived;
-        if (answer.outcome == job_outcome::overloaded) ++counted.refused;
-        if (answer.outcome != job_outcome::complete) return;
-        if (took <= objective) {
-          ++counted.in_time;
-        } else if (took <= 3 * objective) {
-          ++counted.late;
+        if (used && answer.outcome != job_outcome::complete) {
+          wasted_core_ms_ += used.mapped();
         }
+        CountAnswer(answer, number, wide, clock_.SteadyNow() - arrived,
+                    objective);
       });
 }
 
+void load_simulation::CountAnswer(const job_answer& answer, std::size_t kind,
+                                  bool wide, duration took,
+                                  duration objective) {
+  result& counted = results_[kind];
+  if (answer.outcome == job_outcome::overloaded) ++counted.refused;
+  if (answer.outcome != job_outcome::complete) return;
+  if (took <= objective) {
+    ++counted.in_time;
+    if (wide) ++counted.wide_in_time;
+  } else if (took <= 3 * objective) {
+    ++counted.late;
+  }
+}
+
 void load_simulation::SendToAgent(std::size_t entry, link_id link,
                                   const entry_run_message& message) {
   ++messages_;
@@ -348,10 +400,11 @@
 }
 
 void load_simulation::BeginRun(std::size_t number, const run_start& start) {
-  const double work = work_.at(start.key.job).at(start.key.index);
+  const duration time =
+      FromMs(work_.at(start.key.job).at(start.key.index) / Speed(number));
   agents_[number]->running[start.key] = {clock_.SteadyNow(),
-                                         start.needed.cpu_milli};
-  At(clock_.SteadyNow() + FromMs(work),
+                                         start.needed.cpu_milli, time};
+  At(clock_.SteadyNow() + time,
      [=, this, key = start.key] { EndRun(number, key, run_end_kind::done); });
 }
 
@@ -361,8 +414,14 @@
   const auto found = agent.running.find(key);
   if (found == agent.running.end()) return;
   const steady_time since = std::max(found->second.since, measurement_start_);
-  used_core_ms_ += Ms(clock_.SteadyNow() - since) *
-                   static_cast<double>(found->second.cpu_milli) / 1e3;
+  const double used = Ms(clock_.SteadyNow() - since) * Speed(number) *
+                      static_cast<double>(found->second.cpu_milli) / 1e3;
+  used_core_ms_ += used;
+  if (kind == run_end_kind::done) {
+    job_core_ms_[key.job] += used;
+  } else {
+    wasted_core_ms_ += used;
+  }
   agent.running.erase(found);
   agent.ended.push_back({++agent.last_end, key, kind});
   if (agent.waiting_renewal) {
@@ -376,12 +435,16 @@
   if (!agent.waiting_renewal) return;
   lease_reply reply;
   reply.incarnation = 1;
-  for (const auto& [key, run] : agent.running) reply.running.push_back({key});
+  for (const auto& [key, run] : agent.running) {
+    const double done = Ms(clock_.SteadyNow() - run.since) / Ms(run.time);
+    reply.running.push_back({key, static_cast<std::uint32_t>(100 * done)});
+  }
   reply.ended = agent.ended;
   std::exchange(agent.waiting_renewal, nullptr)(reply);
 }
 
 double load_simulation::Spread(double sigma) {
+  if (sigma == 0) return 1;
   std::normal_distribution<double> normal(0, sigma);
   return std::exp(normal(random_));
 }
--- a/tests/entry_jobs/load_simulation.h
+++ b/tests/entry_jobs/load_simulation.h
@@ -21,12 +21,19 @@
   std::uint32_t width = 1;
   milliseconds work{0};
   std::int64_t cpu_milli = 1000;
+  /// Standard deviations of the logarithms of the width and the CPU need; the
+  /// width is at most four times `width`, the CPU need 1.5 times `cpu_milli`.
+  double width_spread = 0;
+  double cpu_spread = 0;
 };
 
 /// @returns three kinds of jobs: "short" (8 tasks of about 51 ms), "long" (4
 ///   tasks of about 760 ms) and "narrow" (2 tasks of about 170 ms). Each makes
 ///   up a third of the value of the load.
 std::vector<load_kind> MixedLoad(std::int64_t cpu_milli);
+/// @returns the kinds of MixedLoad with 60, 900 and 200 ms of work, and with
+///   widths and CPU needs that differ between jobs
+std::vector<load_kind> UnevenLoad(std::int64_t cpu_milli);
 
 /// Simulates entries, agents and endpoints of one service with a network, using
 /// the real controllers.
@@ -36,6 +43,9 @@
     std::size_t entries = 7;
     std::size_t endpoints = 11;
     std::int64_t endpoint_cpu_milli = 64000;
+    /// Factors of the endpoints' size and speed, in turn.
+    std::vector<double> sizes = {1};
+    std::vector<double> speeds = {1};
     duration message_time = std::chrono::microseconds(900);
     /// Share of the tasks that take kTailFactor times as long.
     double tail = 0.03;
@@ -57,6 +67,9 @@
     std::size_t in_time = 0;  ///< completed within the objective
     std::size_t late = 0;     ///< completed within three times the objective
     std::size_t refused = 0;  ///< refused as not run
+    /// Jobs of more than 1.5 times the width of their kind.
+    std::size_t wide_jobs = 0;
+    std::size_t wide_in_time = 0;
   };
 
   static constexpr double kTailFactor = 7;
@@ -80,6 +93,9 @@
   /// @returns CPU time used since the last ResetResults, as a ratio of the
   ///   capacity
   double Utilisation() const;
+  /// @returns CPU time of runs that were stopped or whose job was not
+  ///   completed, as a ratio of the CPU time used
+  double WastedWork() const { return wasted_core_ms_ / used_core_ms_; }
   /// @returns number of starts that agents refused per accepted one
   double RefusedStarts() const;
   /// @returns number of messages between entries and agents per started task
@@ -96,7 +112,12 @@
   void At(steady_time when, std::function<void()> action);
   void RunUntil(steady_time end);
   void TickAll();
+  double Capacity() const;
+  double Speed(std::size_t agent) const;
+  std::int64_t CpuMilli(std::size_t agent) const;
   void SubmitJob(std::size_t kind);
+  void CountAnswer(const job_answer& answer, std::size_t kind, bool wide,
+                   duration took, duration objective);
   void SendToAgent(std::size_t entry, link_id link,
                    const entry_run_message& message);
   void SendStates(std::size_t agent);
@@ -114,11 +135,14 @@
   std::vector<std::unique_ptr<agent_node>> agents_;
   /// Duration of each task of a job in milliseconds.
   std::map<job_id, std::vector<double>> work_;
+  /// CPU time used for each job in progress, in core milliseconds.
+  std::map<job_id, double> job_core_ms_;
   std::vector<result> results_;
   std::uint64_t last_job_ = 0;
   std::uint64_t measurement_ = 0;  ///< changes with each ResetResults
   steady_time measurement_start_;
   double used_core_ms_ = 0;
+  double wasted_core_ms_ = 0;
   std::uint64_t messages_ = 0;
   double started_before_ = 0;  ///< tasks started before the measurement
 };
--- a/tests/entry_jobs/peak_load_test.cc
+++ b/tests/entry_jobs/peak_load_test.cc
@@ -16,7 +16,7 @@
     for (std::uint64_t seed = 1; seed <= 3; ++seed) RunLoadOnce(load, seed);
   }
   void RunLoadOnce(double load, std::uint64_t seed) {
-    load_simulation simulation(seed, {}, MixedLoad(kTaskCpu));
+    load_simulation simulation(seed, settings_, kinds_);
     simulation.RunLoad(std::chrono::seconds(2), 0.7);
     simulation.ResetResults();
     simulation.RunLoad(std::chrono::seconds(8), load);
@@ -27,6 +27,8 @@
       results_[kind].in_time += added.in_time;
       results_[kind].late += added.late;
       results_[kind].refused += added.refused;
+      results_[kind].wide_jobs += added.wide_jobs;
+      results_[kind].wide_in_time += added.wide_in_time;
     }
   }
   double InTimeShare(std::size_t kind) const {
@@ -43,6 +45,8 @@
     return static_cast<double>(part) / static_cast<double>(whole);
   }
 
+  load_simulation::settings settings_;
+  std::vector<load_kind> kinds_ = MixedLoad(kTaskCpu);
   std::array<load_simulation::result, 3> results_;
 };
 
@@ -74,5 +78,23 @@
   }
 }
 
+// Guards against serving the narrow jobs of each kind at the cost of the wide
+// ones, which are as late as their last task.
+TEST_CASE_METHOD(peak_load_fixture,
+                 "peak load / uneven jobs and endpoints, 10% less work than "
+                 "capacity / wide jobs in time as well") {
+  settings_.endpoints = 18;
+  settings_.sizes = {1, 1, 1.5};
+  settings_.speeds = {1, 1.3, 1};
+  settings_.tail = 0;
+  kinds_ = UnevenLoad(6500);
+  RunLoad(0.9);
+  for (std::size_t kind = 0; kind < results_.size(); ++kind) {
+    INFO("kind " << kind);
+    CHECK(InTimeShare(kind) >= 0.9);
+    CHECK(Share(results_[kind].wide_in_time, results_[kind].wide_jobs) >= 0.85);
+  }
+}
+
 }  // namespace
 }  // namespace almond
