--- a/tests/entry/dispatch_test.cc
+++ b/tests/entry/dispatch_test.cc
@@ -267,5 +267,25 @@
   CHECK(net_.dispatch.Fits(service_id("s"), {}));
 }
 
+// The agents are cut off from the control leader and go on granting. Guards
+// against starts there, and against grants that are lost for good.
+TEST_CASE_METHOD(
+    dispatch_fixture,
+    "dispatch / data centre evacuated, its agents grant / no start "
+    "until it is taken back") {
+  net_.OpenAll();
+  net_.dispatch.SetEvacuations(
+      {evacuation_revision(1), {data_centre_id("dc1")}});
+  Submit(30, milliseconds(20000));
+  net_.Run(milliseconds(5000));
+  CHECK(net_.dispatch.InFlight() == 0);
+  CHECK(net_.dispatch.AgentCount(service_id("s")) == 0);
+  CHECK(net_.dispatch.ServiceLoad(service_id("s"), team_id("t")).grants == 0);
+  for (const auto& agent : net_.agents) CHECK(agent->Starts() == 0);
+  net_.dispatch.SetEvacuations({evacuation_revision(2), {}});
+  net_.Run(milliseconds(5000));
+  CHECK(ends_.size() == 30);
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/entry_jobs/endpoint_pool_test.cc
+++ b/tests/entry_jobs/endpoint_pool_test.cc
@@ -19,7 +19,8 @@
     endpoint_state state;
     state.endpoint = endpoint_id(name);
     state.service = service_id("s");
-    state.data_centre = data_centre_id("a");
+    state.data_centre = data_centre_;
+    state.cold_left = cold_left_;
     state.total = {16000, 1000, 0};
     state.unused = {unused, 1000, 0};
     state.accepting = true;
@@ -58,6 +59,8 @@
   std::mt19937_64 random_{7};
   endpoint_pool pool_;
   std::uint32_t index_ = 0;
+  data_centre_id data_centre_{"a"};
+  milliseconds cold_left_{0};
 };
 
 // Guards against assigning the same resources twice between two state messages.
@@ -185,5 +188,50 @@
   CHECK_FALSE(pool_.HasEndpoint(service_id("s")));
 }
 
+// The agent of an evacuated data centre may be cut off from the control leader
+// and report that it accepts starts.
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / data centre evacuated / not chosen and not "
+                 "counted, though its agent accepts") {
+  Announce("here");
+  data_centre_ = data_centre_id("b");
+  Announce("there", 4000);
+  pool_.SetEvacuations({evacuation_revision(1), {data_centre_id("a")}});
+  CHECK(ChosenOf("there", 20) == 20);
+  CHECK(pool_.TotalCpu(service_id("s")) == 16000);
+  CHECK(pool_.UnusedCpu(service_id("s")) == 4000);
+  data_centre_ = data_centre_id("a");
+  Announce("here");
+  CHECK(ChosenOf("there", 20) == 20);
+  pool_.SetEvacuations(
+      {evacuation_revision(2), {data_centre_id("a"), data_centre_id("b")}});
+  CHECK_FALSE(ChooseEndpoint());
+  CHECK_FALSE(pool_.ChooseWaitingPlace(Request()));
+  CHECK_FALSE(pool_.HasEndpoint(service_id("s")));
+  CHECK(pool_.FitsWhenIdle(service_id("s"), {16000, 1, 0}));
+  pool_.SetEvacuations({evacuation_revision(3), {}});
+  CHECK(ChosenOf("here", 20) > 0);
+}
+
+TEST_CASE_METHOD(endpoint_pool_fixture,
+                 "endpoint pool / endpoint cold / avoided while it lasts, its "
+                 "failures and slowness forgotten") {
+  Announce("warm");
+  cold_left_ = milliseconds(1000);
+  Announce("cold");
+  CHECK(ChosenOf("cold", 50) == 0);
+  for (int i = 0; i < 10; ++i) {
+    Run("cold", run_end_kind::done, milliseconds(400));
+  }
+  for (int i = 0; i < 4; ++i) {
+    Run("cold", run_end_kind::failed, milliseconds(10));
+  }
+  clock_.Advance(milliseconds(1000));
+  cold_left_ = milliseconds(0);
+  Announce("cold");
+  Announce("warm");
+  CHECK(ChosenOf("cold", 200) > 50);
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/entry_jobs/load_simulation.cc
+++ b/tests/entry_jobs/load_simulation.cc
@@ -228,6 +228,30 @@
   return started;
 }
 
+void load_simulation::SetEvacuationsAtEntries(const evacuation_list& list,
+                                              std::size_t first) {
+  for (std::size_t i = first; i < entries_.size(); ++i) {
+    entries_[i]->pool.SetEvacuations(list);
+    entries_[i]->jobs.OnEvacuations();
+  }
+}
+
+void load_simulation::SetEvacuationsAtAgents(const evacuation_list& list) {
+  for (std::size_t i = 0; i < agents_.size(); ++i) {
+    agents_[i]->runs.SetEvacuated(list.Contains(DataCentre(i)));
+  }
+}
+
+std::uint64_t load_simulation::StartedIn(std::size_t data_centre) const {
+  std::uint64_t started = 0;
+  for (std::size_t i = data_centre; i < agents_.size();
+       i += settings_.data_centres) {
+    started +=
+        agents_[i]->metrics.Counter("almond_agent_run_starts_total").Value();
+  }
+  return started;
+}
+
 data_centre_id load_simulation::DataCentre(std::size_t node) const {
   return data_centre_id("d" + std::to_string(node % settings_.data_centres));
 }
--- a/tests/entry_jobs/load_simulation.h
+++ b/tests/entry_jobs/load_simulation.h
@@ -73,6 +73,14 @@
   void RunLoad(duration time, double load);
   /// Simulates time without new jobs.
   void RunIdle(duration time) { RunUntil(clock_.SteadyNow() + time); }
+  /// Makes a list of evacuated data centres known to the entries from number
+  /// `first` on; the others are cut off from the control processes.
+  void SetEvacuationsAtEntries(const evacuation_list& list,
+                               std::size_t first = 0);
+  /// As above, at all agents.
+  void SetEvacuationsAtAgents(const evacuation_list& list);
+  /// @returns number of tasks started so far at the agents of a data centre
+  std::uint64_t StartedIn(std::size_t data_centre) const;
   /// Discards the results so far; jobs in progress no longer count.
   void ResetResults();
   /// @returns the results in the order of the kinds
--- a/tests/entry_jobs/parallel_job_controller_test.cc
+++ b/tests/entry_jobs/parallel_job_controller_test.cc
@@ -37,7 +37,7 @@
     endpoint_state state;
     state.endpoint = endpoint_id(name);
     state.service = service_id("s");
-    state.data_centre = data_centre_id("a");
+    state.data_centre = data_centre_;
     state.total = {16000, 1000, 0};
     state.unused = {unused, 1000, 0};
     state.accepting = true;
@@ -79,6 +79,7 @@
   std::vector<run_key> withdrawn_;
   std::vector<job_answer> answers_;
   route rule_;
+  data_centre_id data_centre_{"a"};
   parallel_job_controller jobs_;
 };
 
@@ -364,5 +365,39 @@
   CHECK(lines_.find("\"job\":\"j\"") != std::string::npos);
 }
 
+// Guards against a task that waits for an agent which is cut off from the
+// control leader and would start it.
+TEST_CASE_METHOD(
+    parallel_job_fixture,
+    "parallel job / start waits where is evacuated / withdrawn and "
+    "placed elsewhere") {
+  Announce(kLink, "e", 0);
+  Submit();
+  REQUIRE(starts_.size() == 1);
+  pool_.SetEvacuations({evacuation_revision(1), {data_centre_id("a")}});
+  jobs_.OnEvacuations();
+  REQUIRE(withdrawn_.size() == 1);
+  CHECK(withdrawn_[0] == starts_[0].second.key);
+  End(0, run_end_kind::not_run);
+  CHECK(starts_.size() == 1);
+  data_centre_ = data_centre_id("b");
+  Announce(kOtherLink, "f");
+  REQUIRE(starts_.size() == 2);
+  CHECK(starts_[1].first == kOtherLink);
+}
+
+// Guards against the claim that a job is too large for the service.
+TEST_CASE_METHOD(
+    parallel_job_fixture,
+    "parallel job / fits only where is evacuated / refused for now") {
+  Announce(kLink, "e");
+  AdvanceTime(parallel_job_controller::kStartupGracePeriod);
+  pool_.SetEvacuations({evacuation_revision(1), {data_centre_id("a")}});
+  Submit();
+  REQUIRE(answers_.size() == 1);
+  CHECK(answers_[0].reason == refusal_reason::no_endpoint);
+  CHECK(answers_[0].retry_after);
+}
+
 }  // namespace
 }  // namespace almond
