--- a/tests/platform_programs/control_programs.cc
+++ b/tests/platform_programs/control_programs.cc
@@ -107,6 +107,7 @@
       "--platform",
       "--id=machine-" + std::to_string(machine),
       "--data_centre=zone-" + std::to_string(machine / 2),
+      "--data_centres=zone-0,zone-1,zone-2",
       "--ip=" + Ip(machine),
       "--seeds=" + SeedList(),
       "--port_range=" + std::to_string(first_port_) + "," +
