--- a/tests/agent/agent_controller_test.cc
+++ b/tests/agent/agent_controller_test.cc
@@ -254,5 +254,29 @@
   CHECK(SplitReports({}, {}).size() == 1);
 }
 
+// Guards against starts under grants from before the evacuation.
+TEST_CASE_METHOD(agent_controller_fixture,
+                 "agent / data centre evacuated / grants void and none issued "
+                 "until it is taken back") {
+  const start_message before = Start(0);
+  Deliver(kFirst, before);
+  REQUIRE(runs_.size() == 1);
+  agent_->SetEvacuated(true);
+  grants_.clear();
+  Deliver(kFirst, demand_message{5, false});
+  CHECK(grants_.empty());
+  CHECK(agent_->Slots().GrantedSlots() == 0);
+  start_message late = before;
+  late.name.index = 1;
+  late.grant = grant_id(before.grant.Value() - 1);
+  Deliver(kFirst, late);
+  CHECK(runs_.size() == 1);
+  CHECK(Refused("evacuated") == 1);
+  CHECK(agent_->Running() == 1);
+  agent_->SetEvacuated(false);
+  agent_->Flush();
+  CHECK_FALSE(grants_.empty());
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/almondctl/control_commands_test.cc
+++ b/tests/almondctl/control_commands_test.cc
@@ -351,5 +351,25 @@
   CHECK(UnifiedDiff(before, before, "a", "b").empty());
 }
 
+TEST_CASE_METHOD(almondctl_fixture,
+                 "evacuate / order, withdrawal and lost answer / sent to the "
+                 "control processes and resent") {
+  fake_server control(loop_);
+  control.responses = {Lost(), Reply(200, R"({"revision":3})")};
+  CHECK(Run({"evacuate", "--data-centre", "north"}, control.Url()) == 0);
+  CHECK(out_.str() == "north is evacuated, revision 3\n");
+  REQUIRE(control.requests.size() == 2);
+  CHECK(control.requests[1].method == "PUT");
+  CHECK(control.requests[1].path == "/v1/evacuations/north");
+  CHECK(Run({"evacuate", "--withdraw", "--data-centre", "north"},
+            control.Url()) == 0);
+  CHECK(out_.str() == "north is taken back, revision 3\n");
+  CHECK(control.requests.back().method == "DELETE");
+  control.responses = {Reply(404, R"({"reason":"unknown-data-centre"})")};
+  CHECK(Run({"evacuate", "--data-centre=nowhere"}, control.Url()) == 1);
+  CHECK(err_.str() == "refused: unknown-data-centre\n");
+  CHECK(Run({"evacuate", "--data-centre=a/b"}, control.Url()) == 2);
+}
+
 }  // namespace
 }  // namespace almond
--- a/tests/control_client/control_codec_test.cc
+++ b/tests/control_client/control_codec_test.cc
@@ -113,5 +113,18 @@
   }
 }
 
+TEST_CASE("control codec / evacuations / round trip, unordered ones rejected") {
+  heartbeat_reply_message reply;
+  reply.evacuations = {evacuation_revision(4),
+                       {data_centre_id("a"), data_centre_id("b")}};
+  const auto decoded = DecodeControlReply(EncodeControlReply(1, reply));
+  REQUIRE(decoded);
+  CHECK(std::get<heartbeat_reply_message>(decoded->body).evacuations ==
+        reply.evacuations);
+  std::swap(reply.evacuations.data_centres[0],
+            reply.evacuations.data_centres[1]);
+  CHECK_FALSE(DecodeControlReply(EncodeControlReply(1, reply)));
+}
+
 }  // namespace
 }  // namespace almond
