--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -336,8 +336,9 @@
 TEST_CASE_METHOD(limited_server_fixture,
                  "http server / clients that send nothing / a new caller is "
                  "answered") {
-  std::vector<std::unique_ptr<raw_connection>> silent;
-  for (int i = 0; i < 12; ++i) silent.push_back(Client(""));
+  constexpr std::size_t kSilentClients = 12;
+  std::vector<std::unique_ptr<raw_connection>> silent(kSilentClients);
+  for (auto& client : silent) client = Client("");
   const auto caller = Client("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(Await([&] { return HasAnswer(*caller, " 200 "); }));
   CHECK(Refusals(input_refusal::connections) == 9);
--- a/tests/outside_clients/client_crowd.cc
+++ b/tests/outside_clients/client_crowd.cc
@@ -70,6 +70,7 @@
       return !SendSome(*sender, opening, repeated, limit);
     });
     std::vector<pollfd> waiting;
+    waiting.reserve(sending.size());
     for (const client* sender : sending) {
       waiting.push_back({sender->descriptor, POLLOUT, 0});
     }
