--- a/review/stand-ins-3/system.h
+++ b/review/stand-ins-3/system.h
@@ -33,6 +33,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -351,13 +352,14 @@
 class minion {
  public:
   minion(run_book& book, std::string id, std::string service, std::string zone,
-         std::string ip, int cpu = 16000)
+         std::string ip, int cpu = 16000, int first_beat_ms = 0)
       : book_(book),
         id_(std::move(id)),
         service_(std::move(service)),
         zone_(std::move(zone)),
         ip_(std::move(ip)),
         cpu_(cpu),
+        first_beat_ms_(first_beat_ms),
         born_(std::chrono::duration_cast<milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count()),
@@ -376,9 +378,15 @@
     threads_.emplace_back([this] { Beat(); });
   }
   ~minion() {
+    // A crash: connections are reset, nothing runs any more.
     stop_ = true;
     changed_.notify_all();
     shutdown(listener_, SHUT_RDWR);
+    {
+      const std::lock_guard lock(mutex_);
+      for (const int fd : open_) shutdown(fd, SHUT_RDWR);
+      while (!running_.empty()) Finish(running_.begin()->first, "crashed");
+    }
     for (std::thread& thread : threads_) thread.join();
     for (;;) {
       std::vector<std::thread> open;
@@ -416,6 +424,7 @@
       const int on = 1;
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
       const std::lock_guard lock(mutex_);
+      open_.insert(fd);
       connections_.emplace_back([this, fd] { Serve(fd); });
     }
   }
@@ -434,6 +443,8 @@
         break;
       }
     }
+    const std::lock_guard lock(mutex_);
+    open_.erase(fd);
     close(fd);
   }
 
@@ -446,6 +457,7 @@
     if (!body.is_object()) return {400, nullptr};
     const std::string line = request.first_line;
     std::unique_lock lock(mutex_);
+    if (stop_) return {503, nullptr};
     const std::uint64_t fence = body.value("fence", std::uint64_t{0});
     if (fence < fence_) return Refused("fence");
     fence_ = fence;
@@ -556,6 +568,7 @@
 
   void Beat() {
     std::uint64_t sequence = 0;
+    for (int i = 0; i < first_beat_ms_ / 10 && !stop_; ++i) Sleep(10);
     while (!stop_) {
       const json body = {
           {"service", service_},
@@ -582,6 +595,7 @@
   std::string zone_;
   std::string ip_;
   int cpu_;
+  int first_beat_ms_;
   std::int64_t born_;
   std::int64_t started_;
   int listener_ = -1;
@@ -596,6 +610,7 @@
   std::uint64_t last_end_ = 0;
   std::vector<std::thread> threads_;
   std::vector<std::thread> connections_;
+  std::set<int> open_;
 };
 
 // ---------------------------------------------------------------------------
@@ -604,6 +619,8 @@
 
 struct deployment {
   int sides = 3;
+  /// Cores of the minions, in thousandths; 16 cores where none is given.
+  std::vector<int> cpu;
   bool jobs = true;  // without: only the control processes
 };
 
@@ -625,7 +642,10 @@
       StartControl(i, true);
       if (size.jobs) StartEntry(i);
     }
-    for (int i = 0; size.jobs && i < size.sides; ++i) StartSide(i);
+    for (int i = 0; size.jobs && i < size.sides; ++i) {
+      const auto at = static_cast<std::size_t>(i);
+      StartSide(i, at < size.cpu.size() ? size.cpu[at] : 16000);
+    }
   }
   ~system_of_three() {
     minions_.clear();
@@ -741,7 +761,7 @@
                         << "\n--memory_limit_mib=260\n--max_descriptors=4100\n";
     Run("almond-entryd", "entry-" + std::to_string(number), file);
   }
-  void StartSide(int number) {
+  void StartSide(int number, int cpu) {
     const char* zone = kZones[number % 3];
     const std::string file = Flags("agent-" + std::to_string(number));
     std::ofstream(file) << "--platform\n--id=side-" << zone << "-" << number / 3 + 1
@@ -752,8 +772,19 @@
                         << "\n--service=" << kService
                         << "\n--memory_limit_mib=128\n--max_descriptors=4096\n";
     Run("almond-agentd", "agent-" + std::to_string(number), file);
-    minions_.push_back(std::make_unique<minion>(
-        book_, "i-" + std::to_string(number + 1), kService, zone, SideIp(number)));
+    minions_.emplace_back();
+    StartMinion(number, cpu, 0);
+  }
+  /// Starts a minion, also again under the id that it had.
+  void StartMinion(int number, int cpu, int first_beat_ms) {
+    record_.Write("minion i-%d starts with %d cores", number + 1, cpu / 1000);
+    minions_[static_cast<std::size_t>(number)] = std::make_unique<minion>(
+        book_, "i-" + std::to_string(number + 1), kService, kZones[number % 3],
+        SideIp(number), cpu, first_beat_ms);
+  }
+  void CrashMinion(int number) {
+    record_.Write("minion i-%d crashes", number + 1);
+    minions_[static_cast<std::size_t>(number)].reset();
   }
   /// Ends all programs at once, as a loss of power of the machines would.
   void KillAll() {
