--- a/review/stand-ins-3/system.h
+++ b/review/stand-ins-3/system.h
@@ -385,7 +385,10 @@
     {
       const std::lock_guard lock(mutex_);
       for (const int fd : open_) shutdown(fd, SHUT_RDWR);
-      while (!running_.empty()) Finish(running_.begin()->first, "crashed");
+      while (!running_.empty()) {
+        const std::string task = running_.begin()->first;
+        Finish(task, "crashed");
+      }
     }
     for (std::thread& thread : threads_) thread.join();
     for (;;) {
